Read settings in one place, with miniserde, for adapter and program

Seen: the adapter read the settings' JSON by itself, with serde_json. Changed: Settings::from_json in src/settings.rs is the one reader; names of classes, tenants, zones and kinds and the connection figures are part of Settings. src/json.rs holds the loose reading of miniserde.

--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -2,22 +2,20 @@
 //! output. It translates and decides nothing.
 #![forbid(unsafe_code)]
 
+use bramblepath::json::{flag, number, object, part, position, span, text as word, whole as figure};
 use bramblepath::*;
-use serde_json::{json, Map, Value};
+use miniserde::json::{self, Number, Object, Value};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
 type Res<T> = Result<T, String>;
-type Fields = Map<String, Value>;
+type Fields = Object;
 
-/// One hosted gateway: its module and the names that its settings gave.
+/// One hosted gateway: its module and the settings, whose names the wire speaks in.
 struct Instance {
     controller: Controller,
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
+    settings: Settings,
 }
 
 fn main() -> ExitCode {
@@ -47,7 +45,7 @@
                 frame = Some(read().map_err(|e: String| format!("line {}: FRAME: {e}", number + 1))?);
             }
             ("COMMIT", Some((_, n))) => {
-                write_line(&mut reply, "READY", json!({ "n": n }));
+                write_line(&mut reply, "READY", vec![("n", count(n))]);
                 let sent = output.write_all(reply.as_bytes()).and_then(|()| output.flush());
                 sent.map_err(|e| format!("standard output: {e}"))?;
                 reply.clear();
@@ -71,14 +69,16 @@
     }
 }
 
-fn write_line(reply: &mut String, name: &str, body: Value) {
-    reply.push_str(&json!({ name: body }).to_string());
+fn write_line(reply: &mut String, name: &str, body: Vec<(&str, Value)>) {
+    let body: Object = body.into_iter().map(|(key, value)| (key.to_owned(), value)).collect();
+    let mut outer = Object::new();
+    outer.insert(name.to_owned(), Value::Object(body));
+    reply.push_str(&json::to_string(&outer));
     reply.push('\n');
 }
 
 fn message(line: &str) -> Res<(String, Fields)> {
-    let value: Value = serde_json::from_str(line).map_err(|e| format!("not JSON: {e}"))?;
-    let Value::Object(outer) = value else {
+    let Value::Object(outer) = bramblepath::json::parse(line)? else {
         return Err("not an object".into());
     };
     if outer.len() != 1 {
@@ -90,25 +90,12 @@
     }
 }
 
-fn number(fields: &Fields, key: &str) -> Option<f64> {
-    fields.get(key).and_then(Value::as_f64)
-}
-
 fn whole(fields: &Fields, key: &str) -> Res<u64> {
-    fields.get(key).and_then(Value::as_u64).ok_or_else(|| format!("'{key}' is not a whole number"))
+    figure(fields, key).ok_or_else(|| format!("'{key}' is not a whole number"))
 }
 
 fn text<'a>(fields: &'a Fields, key: &str) -> Res<&'a str> {
-    fields.get(key).and_then(Value::as_str).ok_or_else(|| format!("'{key}' is not a text"))
-}
-
-fn flag(fields: &Fields, key: &str) -> bool {
-    fields.get(key).and_then(Value::as_bool).unwrap_or(false)
-}
-
-/// Milliseconds to microseconds; what is negative or no number counts as 0 (`as` saturates the huge).
-fn span(fields: &Fields, key: &str) -> Micros {
-    (number(fields, key).unwrap_or(0.0) * 1000.0).round() as Micros
+    word(fields, key).ok_or_else(|| format!("'{key}' is not a text"))
 }
 
 fn micros(fields: &Fields, key: &str) -> Res<Micros> {
@@ -134,20 +121,15 @@
     })
 }
 
-/// Position of a name in a list; the list's length where it is not found.
-fn position(names: &[String], name: Option<&Value>) -> usize {
-    let name = name.and_then(Value::as_str).unwrap_or_default();
-    names.iter().position(|n| n == name).unwrap_or(names.len())
-}
-
 fn event(
     instances: &mut BTreeMap<u64, Instance>, gateway: u64, now: Micros, name: &str, fields: &Fields,
     actions: &mut Vec<Action>,
 ) -> Res<()> {
     match name {
         "SPAWN" => {
-            let conf = fields.get("conf").and_then(Value::as_object).ok_or("'conf' is not an object")?;
-            instances.insert(gateway, spawn(conf, whole(fields, "salt")?));
+            let settings = Settings::from_json(part(fields, "conf").ok_or("'conf' is not an object")?);
+            let controller = Controller::new(settings.clone(), whole(fields, "salt")?);
+            instances.insert(gateway, Instance { controller, settings });
             return Ok(());
         }
         "KILLED" => {
@@ -165,21 +147,19 @@
             if mode == "refused" {
                 return Ok(());
             }
-            let none = Vec::new();
+            let none = json::Array::new();
             let elements = match fields.get("elements") {
                 None | Some(Value::Null) => &none,
-                Some(value) => value.as_array().ok_or("'elements' is not an array")?,
+                Some(Value::Array(elements)) => elements,
+                Some(_) => return Err("'elements' is not an array".into()),
             };
             let entries = elements.iter().map(|e| entry(instance, e)).collect::<Res<Vec<_>>>()?;
             Event::Members { full: mode != "changes", entries }
         }
         "JOB_IN" => Event::Request {
             id: whole(fields, "id")?,
-            class: position(&instance.classes, fields.get("qos")),
-            tenant: match position(&instance.tenants, fields.get("team")) {
-                at if at < instance.tenants.len() => Some(at),
-                _ => None,
-            },
+            class: instance.settings.class(word(fields, "qos").unwrap_or_default()),
+            tenant: word(fields, "team").and_then(|name| instance.settings.tenant(name)),
             function: function(fields)?,
             left: micros(fields, "left")?,
             memory_mb: number(fields, "ram-mb").unwrap_or(0.0),
@@ -189,7 +169,7 @@
         },
         "FINISHED" => {
             let outcome = outcome(fields)?;
-            let note = fields.get("note").and_then(Value::as_u64).unwrap_or(0);
+            let note = figure(fields, "note").unwrap_or(0);
             let crowd = (note >> 3) as u32;
             Event::Outcome {
                 id: whole(fields, "id")?,
@@ -203,7 +183,7 @@
                     _ => None,
                 },
                 crowd: (note > 7 && matches!(outcome, Outcome::Ok | Outcome::Full)).then_some(crowd),
-                inflight: fields.get("feedback").and_then(|f| f.get("busy_reqs")).and_then(Value::as_f64),
+                inflight: part(fields, "feedback").and_then(|f| number(f, "busy_reqs")),
             }
         }
         "WITHDRAWN" => Event::Withdrawn { id: whole(fields, "id")? },
@@ -211,7 +191,7 @@
         "WARMED" => Event::Loaded {
             worker: text(fields, "host")?.to_owned(),
             function: function(fields)?,
-            count: fields.get("copies").and_then(Value::as_u64).unwrap_or(0).min(1 << 16) as u32,
+            count: figure(fields, "copies").unwrap_or(0).min(1 << 16) as u32,
             outcome: outcome(fields)?,
             elapsed: span(fields, "elapsed"),
         },
@@ -223,112 +203,46 @@
 }
 
 fn entry(instance: &Instance, value: &Value) -> Res<Entry> {
-    let fields = value.as_object().ok_or("a list entry is not an object")?;
+    let fields = object(value).ok_or("a list entry is not an object")?;
     Ok(Entry {
         worker: text(fields, "host")?.to_owned(),
-        state: match fields.get("mode").and_then(Value::as_str) {
+        state: match word(fields, "mode") {
             Some("on") => WorkerState::Ready,
             Some("fading") => WorkerState::Draining,
             Some("off") => WorkerState::Gone,
             _ => return Err("'mode' of a list entry is unknown".into()),
         },
         started_at: span(fields, "started-at"),
-        zone: position(&instance.zones, fields.get("az")),
-        kind: position(&instance.kinds, fields.get("kind")),
-        cell: fields.get("cluster").and_then(Value::as_u64).unwrap_or(0),
+        zone: position(&instance.settings.zones, word(fields, "az")),
+        kind: position(&instance.settings.kinds, word(fields, "kind")),
+        cell: figure(fields, "cluster").unwrap_or(0),
     })
 }
 
-fn list<'a>(fields: &'a Fields, key: &str) -> &'a [Value] {
-    fields.get(key).and_then(Value::as_array).map_or(&[], Vec::as_slice)
-}
-
-fn names(values: &[Value]) -> Vec<String> {
-    let name = |v: &Value| v.get("name").unwrap_or(v).as_str().unwrap_or_default().to_owned();
-    values.iter().map(name).collect()
-}
-
-fn spawn(conf: &Fields, salt: u64) -> Instance {
-    let empty = Map::new();
-    let part = |key: &str| conf.get(key).and_then(Value::as_object).unwrap_or(&empty);
-    let (limits, rules, family) = (part("limits"), part("rules"), part("family-info"));
-    let items = |key: &str| list(conf, key).iter().filter_map(Value::as_object);
-    let class = |c: &Fields| ClassSettings {
-        effect: match c.get("effect").and_then(Value::as_str) {
-            Some("retryable") => Effect::Safe,
-            Some("dedup") => Effect::Keyed,
-            _ => Effect::Unsafe,
-        },
-        group: match c.get("key-scope").and_then(Value::as_str) {
-            Some("all") => Group::All,
-            Some("zone") => Group::Zone,
-            _ => Group::Cell,
-        },
-        window: span(c, "memory-span"),
-        aim: span(c, "goal-time"),
-        worth: number(c, "worth").unwrap_or(0.0),
-    };
-    let advice = if flag(limits, "retry-after") { span(limits, "max-retry-after") } else { 0 };
-    let count = |fields: &Fields, key: &str| span(fields, key).div_euclid(1000).min(1 << 16) as u32;
-    let settings = Settings {
-        gateways: count(conf, "balancers"),
-        classes: items("classes").map(class).collect(),
-        tenants: items("tenants")
-            .map(|t| TenantSettings { quota_per_s: number(t, "quota-per-s").unwrap_or(0.0) })
-            .collect(),
-        over_share_worth: number(conf, "over-share-worth").unwrap_or(0.0),
-        kind_memory_mb: list(family, "machine-mb").iter().map(|m| m.as_f64().unwrap_or(0.0)).collect(),
-        keep: span(family, "keep"),
-        load_on_absence: family.get("when-absent").and_then(Value::as_str) == Some("load"),
-        orders: flag(family, "orders"),
-        order_timeout: span(family, "load-wait"),
-        load_window: span(family, "load-span"),
-        load_free: number(family, "free-loads").unwrap_or(0.0),
-        load_share: number(family, "loads-per-request").unwrap_or(0.0),
-        max_attempts: count(limits, "max-attempts"),
-        may_cancel: flag(limits, "may-cancel"),
-        second_copies: flag(limits, "second-copies"),
-        max_retry_after: advice,
-        cold_from: number(rules, "cold-from").unwrap_or(0.0),
-        warm_within: span(rules, "warm-within"),
-        fall_multiple: number(rules, "fall-multiple").unwrap_or(0.0),
-        fall_window: span(rules, "fall"),
-        ask_for_list: conf.get("registry-mode").and_then(Value::as_str) == Some("ask"),
-    };
-    Instance {
-        controller: Controller::new(settings, salt),
-        classes: names(list(conf, "classes")),
-        tenants: names(list(conf, "tenants")),
-        zones: names(list(conf, "failure-domains")),
-        kinds: names(list(conf, "flavors")),
-    }
+fn count(n: u64) -> Value {
+    Value::Number(Number::U64(n))
 }
 
-fn translate(gateway: u64, action: Action) -> (&'static str, Value) {
-    let ms = |t: Micros| t as f64 / 1000.0;
-    let hex = |f: FunctionId| format!("{f:016x}");
-    match action {
-        Action::Send { id, worker, timeout } => {
-            ("DELIVER", json!({ "gateway": gateway, "id": id, "host": worker, "allow-for": ms(timeout) }))
+fn translate(gateway: u64, action: Action) -> (&'static str, Vec<(&'static str, Value)>) {
+    let ms = |t: Micros| Value::Number(Number::F64(t as f64 / 1000.0));
+    let image = |f: FunctionId| ("image", Value::String(format!("{f:016x}")));
+    let (host, msg) = (|worker| ("host", Value::String(worker)), |text| ("msg", Value::String(text)));
+    let id = |id| ("id", count(id));
+    let (name, mut fields) = match action {
+        Action::Send { id: of, worker, timeout } => {
+            ("DELIVER", vec![id(of), host(worker), ("allow-for", ms(timeout))])
         }
-        Action::Cancel { id, attempt } => {
-            ("CALL_OFF", json!({ "gateway": gateway, "id": id, "hop": attempt }))
+        Action::Cancel { id: of, attempt } => ("CALL_OFF", vec![id(of), ("hop", count(attempt as u64))]),
+        Action::Refuse { id: of, retry_after } => ("SHED", vec![id(of), ("cool-down", ms(retry_after))]),
+        Action::Fail { id: of } => ("ABORT", vec![id(of)]),
+        Action::Timer { delay, token } => ("TIMER", vec![("offset", ms(delay)), ("ctx", count(token))]),
+        Action::Load { worker, function, count: copies } => {
+            ("START_COPY", vec![host(worker), image(function), ("copies", count(copies.into()))])
         }
-        Action::Refuse { id, retry_after } => {
-            ("SHED", json!({ "gateway": gateway, "id": id, "cool-down": ms(retry_after) }))
-        }
-        Action::Fail { id } => ("ABORT", json!({ "gateway": gateway, "id": id })),
-        Action::Timer { delay, token } => {
-            ("TIMER", json!({ "gateway": gateway, "offset": ms(delay), "ctx": token }))
-        }
-        Action::Load { worker, function, count } => (
-            "START_COPY",
-            json!({ "gateway": gateway, "host": worker, "image": hex(function), "copies": count }),
-        ),
-        Action::Drop { worker, function } => {
-            ("RELEASE_IDLE", json!({ "gateway": gateway, "host": worker, "image": hex(function) }))
-        }
-        Action::Watch => ("WATCH", json!({ "gateway": gateway, "on": true })),
-        Action::Log { text } => ("JOURNAL_LINE", json!({ "gateway": gateway, "msg": text })),
-    }
+        Action::Drop { worker, function } => ("RELEASE_IDLE", vec![host(worker), image(function)]),
+        Action::Watch => ("WATCH", vec![("on", Value::Bool(true))]),
+        Action::Log { text } => ("JOURNAL_LINE", vec![msg(text)]),
+    };
+    fields.push(("gateway", count(gateway)));
+    (name, fields)
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -67,7 +67,8 @@
     pub fn new(mut settings: Settings, seed: u64) -> Self {
         // An unknown class is taken for an unsafe one without an aim or worth; absurd figures are clamped.
         let (effect, group, window, worth) = (Effect::Unsafe, Group::Cell, 0, 0.0);
-        settings.classes.push(ClassSettings { effect, group, window, aim: LONGEST, worth });
+        let name = String::new();
+        settings.classes.push(ClassSettings { name, effect, group, window, aim: LONGEST, worth });
         for c in &mut settings.classes {
             c.aim = if c.aim > 0 { c.aim.min(LONGEST) } else { LONGEST };
             c.window = c.window.min(LONGEST);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -13,30 +13,34 @@
 pub type WorkerId = String;
 
 /// What repeating a call may do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// May run any number of times.
     Safe,
     /// Carries a key by which a group of workers drops repeats for a while.
     Keyed,
     /// Must never run twice.
+    #[default]
     Unsafe,
 }
 
 /// The workers that share their memory of keys.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Group {
     /// All workers.
     All,
     /// The workers of one zone.
     Zone,
     /// The workers of one cell.
+    #[default]
     Cell,
 }
 
 /// One class of requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ClassSettings {
+    /// Its name on the wires.
+    pub name: String,
     /// What a repeat may do.
     pub effect: Effect,
     /// For keyed classes, who drops repeats.
@@ -50,8 +54,10 @@
 }
 
 /// One tenant.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct TenantSettings {
+    /// Its name on the wires.
+    pub name: String,
     /// Requests a second over all gateways that count as within its share; 0 if none is stated.
     pub quota_per_s: f64,
 }
@@ -65,6 +71,10 @@
     pub classes: Vec<ClassSettings>,
     /// Tenants, if any.
     pub tenants: Vec<TenantSettings>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// Names of the machine kinds.
+    pub kinds: Vec<String>,
     /// Worth of a request beyond its tenant's share, as a part of its class's worth.
     pub over_share_worth: f64,
     /// Memory of each machine kind, in MB.
@@ -91,6 +101,12 @@
     pub second_copies: bool,
     /// Longest wait that clients can be advised of; 0: no advice is passed on.
     pub max_retry_after: Micros,
+    /// A connection not established within this span counts as failed.
+    pub connect_timeout: Micros,
+    /// Workers close connections idle for this long.
+    pub connection_idle: Micros,
+    /// Attempts that one connection to a worker carries together; 0: not stated.
+    pub streams_per_connection: u32,
     /// Share of its capacity with which a worker starts at the least.
     pub cold_from: f64,
     /// Time after which a started worker is warm at the latest.
--- /dev/null
+++ b/src/json.rs
@@ -0,0 +1,87 @@
+//! Reading of loosely typed JSON, as the simulator's wire, the platform's files and KServe v2 hold it.
+//! What is absent or of another type reads as "not told": a newer sender may say more, or less.
+use crate::interface::Micros;
+use miniserde::json::{self, Number, Object, Value};
+
+/// The whole text as one JSON value.
+pub fn parse(text: &str) -> Result<Value, String> {
+    json::from_str(text).map_err(|_| "not JSON".to_owned())
+}
+
+/// The fields of a value that is an object.
+pub fn object(value: &Value) -> Option<&Object> {
+    match value {
+        Value::Object(fields) => Some(fields),
+        _ => None,
+    }
+}
+
+/// The object under a key.
+pub fn part<'a>(fields: &'a Object, key: &str) -> Option<&'a Object> {
+    fields.get(key).and_then(object)
+}
+
+/// The array under a key; empty where there is none.
+pub fn list<'a>(fields: &'a Object, key: &str) -> &'a [Value] {
+    match fields.get(key) {
+        Some(Value::Array(items)) => items,
+        _ => &[],
+    }
+}
+
+/// The text of a value that is one.
+pub fn as_text(value: &Value) -> Option<&str> {
+    match value {
+        Value::String(text) => Some(text),
+        _ => None,
+    }
+}
+
+/// The text under a key.
+pub fn text<'a>(fields: &'a Object, key: &str) -> Option<&'a str> {
+    fields.get(key).and_then(as_text)
+}
+
+/// The figure of a value that is a number.
+pub fn as_number(value: &Value) -> Option<f64> {
+    match value {
+        Value::Number(Number::U64(n)) => Some(*n as f64),
+        Value::Number(Number::I64(n)) => Some(*n as f64),
+        Value::Number(Number::F64(n)) => Some(*n),
+        _ => None,
+    }
+}
+
+/// The number under a key.
+pub fn number(fields: &Object, key: &str) -> Option<f64> {
+    fields.get(key).and_then(as_number)
+}
+
+/// The whole number, 0 or more, under a key.
+pub fn whole(fields: &Object, key: &str) -> Option<u64> {
+    match fields.get(key) {
+        Some(Value::Number(Number::U64(n))) => Some(*n),
+        _ => None,
+    }
+}
+
+/// The mark under a key; absent is false.
+pub fn flag(fields: &Object, key: &str) -> bool {
+    matches!(fields.get(key), Some(Value::Bool(true)))
+}
+
+/// Milliseconds under a key as microseconds; what is negative or no number counts as 0 (`as` saturates).
+pub fn span(fields: &Object, key: &str) -> Micros {
+    (number(fields, key).unwrap_or(0.0) * 1000.0).round() as Micros
+}
+
+/// A small count under a key.
+pub fn count(fields: &Object, key: &str) -> u32 {
+    number(fields, key).unwrap_or(0.0).clamp(0.0, 65_536.0) as u32
+}
+
+/// Position of a name in a list; the list's length where it is not found.
+pub fn position(names: &[String], name: Option<&str>) -> usize {
+    let name = name.unwrap_or_default();
+    names.iter().position(|n| n == name).unwrap_or(names.len())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,13 +10,13 @@
 //! let settings = Settings {
 //!     gateways: 1,
 //!     classes: vec![ClassSettings {
-//!         effect: Effect::Safe, group: Group::All, window: 0, aim: 1_000_000, worth: 1.0,
+//!         effect: Effect::Safe, aim: 1_000_000, worth: 1.0, ..ClassSettings::default()
 //!     }],
 //!     tenants: vec![], over_share_worth: 1.0, kind_memory_mb: vec![8192.0], keep: 8_000_000,
 //!     load_on_absence: false, orders: true, order_timeout: 10_000_000,
 //!     load_window: 0, load_free: 0.0, load_share: 0.0, max_attempts: 3, may_cancel: true,
 //!     second_copies: false, max_retry_after: 0, cold_from: 0.3, warm_within: 10_000_000,
-//!     fall_multiple: 2.0, fall_window: 1_000_000, ask_for_list: false,
+//!     fall_multiple: 2.0, fall_window: 1_000_000, ..Settings::default()
 //! };
 //! let mut controller = Controller::new(settings, 7);
 //! let mut actions = Vec::new();
@@ -41,6 +41,8 @@
 
 mod control;
 mod interface;
+pub mod json;
+mod settings;
 mod state;
 
 pub use interface::*;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,7 +9,7 @@
 pub const UNSAFE: usize = 2;
 
 pub fn class(effect: Effect, group: Group) -> ClassSettings {
-    ClassSettings { effect, group, window: 3 * SEC, aim: SEC, worth: 1.0 }
+    ClassSettings { effect, group, window: 3 * SEC, aim: SEC, worth: 1.0, ..ClassSettings::default() }
 }
 
 /// One gateway before workers where only an order loads; tests change what they need.
@@ -39,7 +39,7 @@
         warm_within: 10 * SEC,
         fall_multiple: 2.0,
         fall_window: SEC,
-        ask_for_list: false,
+        ..Settings::default()
     }
 }
 
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -4,7 +4,8 @@
 use common::*;
 
 fn many(gateways: u32) -> Settings {
-    let tenants = vec![TenantSettings { quota_per_s: 60.0 }, TenantSettings { quota_per_s: 40.0 }];
+    let tenant = |quota_per_s| TenantSettings { quota_per_s, ..TenantSettings::default() };
+    let tenants = vec![tenant(60.0), tenant(40.0)];
     Settings { gateways, tenants, ..settings() }
 }
 
