Speak KServe v2 on both sides: front, worker transport, xDS endpoints, read-only administration

Seen: only the platform's protocol was spoken. Built on the same core: a v2 front over HTTP/1.1 REST, a v2 transport that uses the model repository extension for loads, unloads and questions, endpoints in Envoy's xDS JSON form, and a read-only administration listener. All are off unless WRENSEAM_KSERVE names the file.

--- a/wrenseam/src/front/fastcgi.rs
+++ b/wrenseam/src/front/fastcgi.rs
@@ -301,7 +301,10 @@
         let held = self.doors.budget.take(partial.body.len() + partial.params.len());
         if held.is_none() {
             self.end_at_once(id, OVERLOADED, "the bytes held over all requests are at their bound");
-            return if close { self.side.out.close() } else { () };
+            if close {
+                self.side.out.close();
+            }
+            return;
         }
         let (fault, body) = (partial.fault, partial.body);
         let request = match fault {
--- a/wrenseam/src/front/mod.rs
+++ b/wrenseam/src/front/mod.rs
@@ -1,6 +1,6 @@
 //! The fronts: each parses its protocol, hands neutral requests to the core and writes the one final answer.
 pub mod fastcgi;
-//KSERVE pub mod kserve;
+pub mod kserve;
 
 use crate::core::{Message, Shared};
 use crate::limits::{Budget, Limits};
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod core;
 pub mod front;
+pub mod http;
 pub mod limits;
 pub mod net;
 pub mod ring;
@@ -69,11 +70,32 @@
             .map_err(|e| format!("board: {e}"))?;
     }
     let main = listen(config.listen, &doors, "fastcgi", front::fastcgi::serve)?;
-    eprintln!("start: {} listens on {}", config.name, config.listen);
-    shutdown::wait(signals, &[&main], &doors);
+    announce(&config.name, &main);
+    let mut listeners = vec![main];
+    if let Some(kserve) = config.kserve {
+        if let Some(endpoints) = &kserve.endpoints {
+            let members = roster::endpoints(endpoints).map_err(|e| format!("endpoints: {e}"))?;
+            let _ = queue.send(Message::Members { source: Speech::Kserve, full: true, members });
+        }
+        let front = listen(kserve.listen, &doors, "kserve", front::kserve::serve)?;
+        announce("KServe v2", &front);
+        listeners.push(front);
+        if let Some(admin) = kserve.admin {
+            let front = listen(admin, &doors, "admin", front::kserve::serve_admin)?;
+            announce("administration", &front);
+            listeners.push(front);
+        }
+    }
+    let listeners: Vec<&TcpListener> = listeners.iter().map(Arc::as_ref).collect();
+    shutdown::wait(signals, &listeners, &doors);
     Ok(())
 }
 
+fn announce(name: &str, listener: &TcpListener) {
+    let address = listener.local_addr().map_or("?".to_owned(), |a| a.to_string());
+    eprintln!("start: {name} listens on {address}");
+}
+
 fn listen(
     address: SocketAddr, doors: &Doors, name: &'static str, serve: fn(may::net::TcpStream, &Doors, net::Seat),
 ) -> Result<Arc<TcpListener>, String> {
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -27,6 +27,10 @@
     pub worker_ring: usize,
     /// Stack of a coroutine, in bytes.
     pub stack: usize,
+    /// What a v2 client waits that does not say.
+    pub default_wait: Micros,
+    /// Connections to one v2 worker: each carries one exchange at a time.
+    pub lanes_per_worker: usize,
     /// Attempts that one worker connection carries together.
     pub streams: usize,
     /// A connection to a worker must stand within this.
@@ -77,6 +81,8 @@
             } else {
                 100
             },
+            default_wait: 4_000_000,
+            lanes_per_worker: (sockets / 128).max(2),
             connect: span(settings.connect_timeout, 250),
             worker_idle: idle.saturating_sub(idle / 5),
             write_stall: Duration::from_secs(5),
--- a/wrenseam/src/net.rs
+++ b/wrenseam/src/net.rs
@@ -89,7 +89,7 @@
     let mut broken = false;
     while let Ok(Chunk::Bytes(bytes, _held)) = queue.recv() {
         let (mut rest, all) = (&bytes[..], bytes.len());
-        while !broken && !(rest.is_empty() && ring.is_empty()) {
+        while !broken && (!rest.is_empty() || !ring.is_empty()) {
             rest = &rest[ring.push(rest)..];
             match stream.write(ring.front()) {
                 Ok(n) if n > 0 => ring.consume(n),
--- a/wrenseam/src/roster.rs
+++ b/wrenseam/src/roster.rs
@@ -1,5 +1,6 @@
 //! The list of workers: the notice board's events, and for KServe v2 workers endpoints in Envoy's xDS JSON form.
 use crate::core::{Member, Message, Speech};
+use crate::http::{Chunked, Coded, Head};
 use crate::limits::Limits;
 use crate::net::timed_out;
 use crate::ring::Ring;
@@ -118,39 +119,6 @@
     }
 }
 
-/// Undoes the chunked transfer coding, byte by byte.
-#[derive(Default)]
-pub struct Chunked {
-    left: usize,
-    line: Vec<u8>,
-}
-
-impl Chunked {
-    /// The byte if it is content; an error if the coding is broken or ends.
-    pub fn byte(&mut self, byte: u8) -> Result<Option<u8>, String> {
-        if self.left > 0 {
-            self.left -= 1;
-            return Ok(Some(byte));
-        }
-        match byte {
-            b'\n' if self.line.is_empty() => {} // the line end behind a chunk
-            b'\n' => {
-                let line = String::from_utf8_lossy(&self.line).into_owned();
-                let size = line.split(';').next().unwrap_or_default().trim();
-                self.left = usize::from_str_radix(size, 16).map_err(|_| "bad chunk size")?;
-                self.line.clear();
-                if self.left == 0 {
-                    return Err("the stream ended".to_owned());
-                }
-            }
-            b'\r' => {}
-            _ if self.line.len() > 64 => return Err("bad chunk size".to_owned()),
-            _ => self.line.push(byte),
-        }
-        Ok(None)
-    }
-}
-
 /// Follows the board for ever: whenever the connection ends it calls again, telling the last event seen.
 pub fn follow(board: SocketAddr, last: u64, limits: &Limits, core: &Sender<Message>) {
     let mut last = last.to_string();
@@ -191,15 +159,20 @@
                 None => {
                     head.push(byte);
                     if head.ends_with(b"\r\n\r\n") {
-                        chunked = Some(answer_head(&head)?.then(Chunked::default));
+                        let answer = Head::answer(&head)?;
+                        if answer.status != 200 {
+                            return Err(format!("status {}", answer.status));
+                        }
+                        chunked = Some(answer.chunked.then(Chunked::default));
                     } else if head.len() > limits.head {
                         return Err("the answer's head is too long".to_owned());
                     }
                 }
                 Some(coding) => {
-                    let content = match coding {
-                        Some(coding) => coding.byte(byte)?,
-                        None => Some(byte),
+                    let content = match coding.as_mut().map_or(Ok(Coded::Byte(byte)), |c| c.byte(byte))? {
+                        Coded::Byte(byte) => Some(byte),
+                        Coded::Nothing => None,
+                        Coded::End => return Err("the stream ended".to_owned()),
                     };
                     if let Some((id, data)) = content.and_then(|b| events.byte(b)) {
                         tell(&data, core)?;
@@ -214,18 +187,6 @@
     }
 }
 
-/// Whether the body is chunked; an error unless the status is 200.
-fn answer_head(head: &[u8]) -> Result<bool, String> {
-    let mut headers = [httparse::EMPTY_HEADER; 32];
-    let mut answer = httparse::Response::new(&mut headers);
-    answer.parse(head).map_err(|e| e.to_string())?;
-    if answer.code != Some(200) {
-        return Err(format!("status {}", answer.code.unwrap_or(0)));
-    }
-    let coding = answer.headers.iter().find(|h| h.name.eq_ignore_ascii_case("transfer-encoding"));
-    Ok(coding.is_some_and(|h| h.value.eq_ignore_ascii_case(b"chunked")))
-}
-
 fn tell(data: &str, core: &Sender<Message>) -> Result<(), String> {
     let Ok(Value::Object(event)) = parse(data) else {
         return Err("an event that is no JSON object".to_owned());
--- a/wrenseam/src/worker/mod.rs
+++ b/wrenseam/src/worker/mod.rs
@@ -1,6 +1,6 @@
 //! Transports: what carries attempts, orders and cancels to one worker and reports how they end.
 pub mod frames;
-//KSERVE pub mod kserve;
+pub mod kserve;
 
 use crate::core::{AttemptKey, Message, Report, Request, Speech};
 use crate::limits::Limits;
@@ -47,6 +47,6 @@
 ) -> Box<dyn Transport> {
     match speech {
         Speech::Frames => Box::new(frames::Frames::new(address, limits.clone(), reports.clone())),
-        Speech::Kserve => Box::new(frames::Frames::new(address, limits.clone(), reports.clone())), // TEMP
+        Speech::Kserve => Box::new(kserve::Kserve::new(address, limits.clone(), reports.clone())),
     }
 }
