Prove the same ends over FastCGI and v2; a request whose time is up is not sent again

Seen: over v2 workers a keyed request was now and then sent a second time 8 ms before its client left. Cause: control.rs place(): the attempt's time-out can come microseconds before the request's own timer. Changed: place() ends a request whose time is up; bytes of unfinished requests count against the bound too. Ruled out: the transports; they reported the time-out once.

--- a/src/control.rs
+++ b/src/control.rs
@@ -351,7 +351,9 @@
             return;
         }
         let ran = r.attempts.iter().any(|a| a.may_have_run);
-        if r.attempts.len() as u32 >= self.set.max_attempts
+        // Guards against a call for nobody: the attempt's time-out may come just before the request's timer.
+        if now >= r.ends
+            || r.attempts.len() as u32 >= self.set.max_attempts
             || ran && self.set.classes[class].effect == Effect::Unsafe
         {
             return self.finish(id, out);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -214,3 +214,15 @@
     assert!(short(12));
     assert!(!short(1));
 }
+
+/// Seen on sockets: the attempt's time-out came microseconds before the request's own timer, and the request
+/// was sent once more although its client was about to leave.
+#[test]
+fn a_request_whose_time_is_up_is_not_sent_again() {
+    let mut rig = Rig::new(settings(), 3);
+    rig.warm(7, 1, &["w0", "w1", "w2"]);
+    assert_eq!(sends(&rig.request(2, SAFE, 7)).len(), 1);
+    rig.now += 3 * SEC;
+    let out = rig.outcome(2, 0, Outcome::Timeout, 3 * SEC);
+    assert!(sends(&out).is_empty() && out.contains(&Action::Fail { id: 2 }), "{out:?}");
+}
--- a/wrenseam/src/front/fastcgi.rs
+++ b/wrenseam/src/front/fastcgi.rs
@@ -1,6 +1,7 @@
 //! The platform's front: FastCGI 1.0, Responder role, many requests on one connection.
 use super::{function, millis, token_fits, Doors};
 use crate::core::{Answer, Client, Message, Payload, Request};
+use crate::limits::Held;
 use crate::net::{connection_number, timed_out, Outbox, Seat};
 use crate::ring::Ring;
 use may::net::TcpStream;
@@ -122,10 +123,35 @@
 struct Partial {
     keep: bool,
     params: Vec<u8>,
-    params_done: bool,
     body: Vec<u8>,
-    /// Why it is failed as soon as it has come whole.
-    fault: Option<&'static str>,
+    /// Its share of the bytes held over all requests, taken as they come: requests that are never finished
+    /// take memory too.
+    held: Option<Held>,
+    /// Why it ends as soon as it has come whole.
+    fault: Option<Fault>,
+}
+
+#[derive(Clone, Copy)]
+enum Fault {
+    /// It cannot be served as it is.
+    Bad(&'static str),
+    /// There is no room for it now.
+    NoRoom,
+}
+
+impl Partial {
+    /// Whether bytes may be added to a part that holds `now` and may hold `most`.
+    fn admits(&mut self, bytes: usize, now: usize, most: usize, why: &'static str) -> bool {
+        if self.fault.is_none() && now + bytes > most {
+            self.fault = Some(Fault::Bad(why));
+        } else if self.fault.is_none() && !self.held.as_mut().is_some_and(|h| h.grow(bytes)) {
+            self.fault = Some(Fault::NoRoom);
+        }
+        if self.fault.is_some() {
+            (self.params, self.body, self.held) = (Vec::new(), Vec::new(), None);
+        }
+        self.fault.is_none()
+    }
 }
 
 /// Serves one connection until it ends.
@@ -239,7 +265,8 @@
         } else if open >= self.doors.limits.requests_per_connection {
             self.end_at_once(id, OVERLOADED, "too many requests on one connection");
         } else {
-            self.partial.insert(id, Partial { keep: flags & KEEP_CONN != 0, ..Partial::default() });
+            let (keep, held) = (flags & KEEP_CONN != 0, self.doors.budget.take(0));
+            self.partial.insert(id, Partial { keep, held, ..Partial::default() });
         }
         Ok(())
     }
@@ -255,11 +282,8 @@
 
     fn params(&mut self, id: u16, content: &[u8]) {
         let Some(partial) = self.partial.get_mut(&id) else { return };
-        partial.params_done |= content.is_empty();
-        if partial.params.len() + content.len() > self.doors.limits.head {
-            partial.fault = Some("parameters are too long");
-            partial.params.clear();
-        } else if partial.fault.is_none() {
+        let (now, most) = (partial.params.len(), self.doors.limits.head);
+        if partial.admits(content.len(), now, most, "parameters are too long") {
             partial.params.extend(content);
         }
     }
@@ -267,10 +291,8 @@
     fn stdin(&mut self, id: u16, content: &[u8]) {
         let Some(partial) = self.partial.get_mut(&id) else { return };
         if !content.is_empty() {
-            if partial.body.len() + content.len() > self.doors.limits.body {
-                partial.fault = Some("the body is too long");
-                partial.body = Vec::new();
-            } else if partial.fault.is_none() {
+            let (now, most) = (partial.body.len(), self.doors.limits.body);
+            if partial.admits(content.len(), now, most, "the body is too long") {
                 partial.body.extend(content);
             }
             return;
@@ -298,18 +320,16 @@
             let status = if ready { "200 OK" } else { "503 Service Unavailable" };
             return at_once(response(id, &format!("Status: {status}\r\n"), &[]));
         }
-        let held = self.doors.budget.take(partial.body.len() + partial.params.len());
-        if held.is_none() {
-            self.end_at_once(id, OVERLOADED, "the bytes held over all requests are at their bound");
-            if close {
-                self.side.out.close();
+        let request = match partial.fault {
+            Some(Fault::NoRoom) => {
+                self.end_at_once(id, OVERLOADED, "the bytes held over all requests are at their bound");
+                if close {
+                    self.side.out.close();
+                }
+                return;
             }
-            return;
-        }
-        let (fault, body) = (partial.fault, partial.body);
-        let request = match fault {
-            Some(why) => Err(why),
-            None => neutral(path, &word, body).map(|r| Request { read_at, held, ..r }),
+            Some(Fault::Bad(why)) => Err(why),
+            None => neutral(path, &word, partial.body).map(|r| Request { read_at, held: partial.held, ..r }),
         };
         match request {
             Err(why) => {
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -71,7 +71,7 @@
             answer: 1024 * 1024,
             requests_per_connection: 32,
             client_connections: (sockets - sockets / 8) / 2,
-            held_bytes: memory / 3,
+            held_bytes: memory / 4, // an attempt's frame is a second copy, and rings and stacks come on top
             unsent_per_connection: 1024 * 1024,
             client_ring: 8 * 1024,
             worker_ring: 64 * 1024,
@@ -130,6 +130,19 @@
     bytes: usize,
 }
 
+impl Held {
+    /// Takes more bytes; false, and nothing taken, if they are not there.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        match self.budget.take(bytes) {
+            Some(mut more) => {
+                self.bytes += std::mem::take(&mut more.bytes);
+                true
+            }
+            None => false,
+        }
+    }
+}
+
 impl Drop for Held {
     fn drop(&mut self) {
         self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
@@ -145,7 +158,9 @@
         let budget = Budget::new(10);
         let held = budget.take(8).expect("fits");
         assert!(budget.take(3).is_none());
-        assert_eq!(budget.used(), 8);
+        let mut held = held;
+        assert!(held.grow(2) && !held.grow(1));
+        assert_eq!(budget.used(), 10);
         drop(held);
         assert!(budget.take(10).is_some());
     }
--- /dev/null
+++ b/wrenseam/tests/common/mod.rs
@@ -0,0 +1,458 @@
+//! The one helper of the tests: starts the program, plays stand-in clients and workers written from the
+//! specifications, and runs scenarios. A scenario has a line a step:
+//!
+//!     client send CLASS KEY BODY WAIT_MS     a request; key `-` is none
+//!     client expect served BODY | refused | failed | nothing
+//!     client close
+//!     worker expect CLASS KEY BODY [same]    the next call at any worker; `same`: in the hall of the last
+//!     worker expect nothing                  no call comes
+//!     worker send ok BODY | full | miss | error | half     answers the last call; `half` ends midway
+//!     worker close                           ends the last call's connection
+//!     wait MS
+#![allow(dead_code)]
+use base64::{engine::general_purpose::STANDARD, Engine};
+use bramblepath::json::{list, object, parse, part, text};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::Duration;
+
+pub const FUNCTION: &str = "7f3a9c21e0b4d655";
+const PATIENCE: Duration = Duration::from_secs(10);
+const QUIET: Duration = Duration::from_millis(300);
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Speech {
+    Platform,
+    Kserve,
+}
+
+/// A call as a stand-in worker saw it.
+pub struct Call {
+    speech: Speech,
+    hall: usize,
+    id: u64,
+    class: String,
+    key: String,
+    body: String,
+    stream: TcpStream,
+}
+
+/// The running program and its stand-in workers, two in each of two halls.
+pub struct Stage {
+    child: Child,
+    pub front: SocketAddr,
+    pub kserve: SocketAddr,
+    pub admin: SocketAddr,
+    calls: Receiver<Call>,
+}
+
+const SETTINGS: &str = r#"{"balancers":1,"classes":[
+ {"effect":"retryable","goal-time":400,"key-scope":"all","memory-span":5000,"name":"tile-render","worth":1},
+ {"effect":"dedup","goal-time":400,"key-scope":"zone","memory-span":5000,"name":"tile-order","worth":3}],
+ "failure-domains":["hall-a","hall-b"],"flavors":["std"],"tenants":[{"name":"acme","portion":1,"quota-per-s":70}],
+ "family-info":{"free-loads":4,"keep":8000,"load-span":5000,"load-wait":4000,"loads-per-request":0.15,
+ "machine-mb":[90000],"orders":true,"tells-crowd":true,"tells-warm":true,"when-absent":"load"},
+ "limits":{"conn-idle":15000,"connect-timeout":250,"max-attempts":3,"max-retry-after":1000,"may-cancel":true,
+ "retry-after":true,"second-copies":false,"streams-per-conn":100},"rules":{"cold-from":0.2,"fall":1000,
+ "fall-multiple":2,"warm-within":17000}}"#;
+
+impl Stage {
+    pub fn new(speech: Speech) -> Stage {
+        static RUNS: AtomicU64 = AtomicU64::new(0);
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
+        let folder =
+            std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{run}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder for the files");
+        let (seen, calls) = channel();
+        let workers: Vec<SocketAddr> = (0..4).map(|n| worker(speech, n / 2, seen.clone())).collect();
+        let hall = |n: usize| if n < 2 { "hall-a" } else { "hall-b" };
+        let (mut notices, mut localities) = (Vec::new(), Vec::new());
+        for (n, address) in workers.iter().enumerate() {
+            let (hall, port) = (hall(n), address.port());
+            notices.push(format!(
+                r#"{{"instanceId":"w{n}","hostPort":"{address}","zone":"{hall}","machineType":"std","cell":{},"lifecycle":"ready","startedAtMs":0}}"#,
+                n / 2
+            ));
+            localities.push(format!(
+                r#"{{"locality":{{"zone":"{hall}"}},"lb_endpoints":[{{"endpoint":{{"address":{{"socket_address":{{"address":"127.0.0.1","port_value":{port}}}}}}}}}]}}"#
+            ));
+        }
+        let (known, endpoints) = match speech {
+            Speech::Platform => (notices.join(","), String::new()),
+            Speech::Kserve => (String::new(), localities.join(",")),
+        };
+        let write = |name: &str, text: String| {
+            std::fs::write(folder.join(name), text).expect("a file");
+            folder.join(name)
+        };
+        let config = write(
+            "config.json",
+            format!(
+                r#"{{"name":"t","seed":"2a","limits":{{"memory_mb":192,"sockets":1024}},"settings":{SETTINGS},
+                "known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"reset":true,"instances":[{known}]}}}}]}}}}"#
+            ),
+        );
+        write(
+            "endpoints.json",
+            format!(r#"{{"resources":[{{"cluster_name":"tile-workers","endpoints":[{endpoints}]}}]}}"#),
+        );
+        let kserve = write(
+            "kserve.json",
+            r#"{"listen":"127.0.0.1:0","admin":"127.0.0.1:0","endpoints":"endpoints.json"}"#.to_owned(),
+        );
+        let mut child = Command::new(env!("CARGO_BIN_EXE_wrenseam"))
+            .env("NODE_CONFIG", config)
+            .env("NODE_LISTEN", "127.0.0.1:0")
+            .env("WRENSEAM_KSERVE", kserve)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let mut listens = || loop {
+            let line = lines.next().expect("a line of the log").expect("text");
+            if let Some((_, address)) = line.split_once(" listens on ") {
+                return address.parse().expect("an address");
+            }
+        };
+        let (front, kserve, admin) = (listens(), listens(), listens());
+        // The rest of the log is read, so that it cannot fill up, and shown with a failed test.
+        std::thread::spawn(move || {
+            lines.map_while(Result::ok).for_each(|line| eprintln!("  program: {line}"))
+        });
+        let stage = Stage { child, front, kserve, admin, calls };
+        while !get(stage.admin, "/healthz").starts_with("HTTP/1.1 200") {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        stage
+    }
+
+    /// Sends SIGTERM and waits for the program's end.
+    pub fn stop(&mut self) -> bool {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+        self.child.wait().expect("it ends").success()
+    }
+
+    /// Runs a scenario through one front; what clients and workers saw, line by line.
+    pub fn play(&self, front: Speech, scenario: &str) -> Vec<String> {
+        let address = if front == Speech::Platform { self.front } else { self.kserve };
+        let mut client = Client { speech: front, stream: connect(address) };
+        let (mut last, mut seen): (Option<Call>, Vec<String>) = (None, Vec::new());
+        for line in scenario.lines().map(str::trim).filter(|l| !l.is_empty()) {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let context = format!("{front:?}: {line}");
+            match words[..] {
+                ["client", "send", class, key, body, wait] => client.send(class, key, body, wait),
+                ["client", "close"] => client.stream.shutdown(Shutdown::Both).expect("open"),
+                ["client", "expect", "nothing"] => client.nothing(&context),
+                ["client", "expect", ref wanted @ ..] => {
+                    let got = client.answer(&context);
+                    assert_eq!(got, wanted.join(" "), "{context}");
+                    seen.push(format!("client {got}"));
+                }
+                ["worker", "expect", "nothing"] => {
+                    assert!(self.calls.recv_timeout(QUIET).is_err(), "{context}: a call came");
+                }
+                ["worker", "expect", class, key, body, ref hall @ ..] => {
+                    let call = self.calls.recv_timeout(PATIENCE).expect(&context);
+                    let got = [&call.class[..], &call.key, &call.body];
+                    assert_eq!(got, [class, key, body], "{context}");
+                    if hall == ["same"] {
+                        assert_eq!(Some(call.hall), last.map(|l| l.hall), "{context}");
+                    }
+                    seen.push(format!("worker {}", got.join(" ")));
+                    last = Some(call);
+                }
+                ["worker", "send", ref answer @ ..] => last.as_ref().expect(&context).answer(answer),
+                ["worker", "close"] => {
+                    last.as_ref().expect(&context).stream.shutdown(Shutdown::Both).expect("open");
+                }
+                ["wait", ms] => std::thread::sleep(Duration::from_millis(ms.parse().expect("a number"))),
+                _ => panic!("no such step: {line}"),
+            }
+        }
+        seen
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = self.child.kill(); // it may have ended already
+        let _ = self.child.wait();
+    }
+}
+
+pub fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("a connection");
+    stream.set_read_timeout(Some(PATIENCE)).expect("set");
+    stream
+}
+
+/// An HTTP answer to a GET, whole.
+pub fn get(address: SocketAddr, path: &str) -> String {
+    let mut stream = connect(address);
+    write!(stream, "GET {path} HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\r\n").expect("written");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    answer
+}
+
+fn exactly(stream: &mut impl Read, n: usize) -> std::io::Result<Vec<u8>> {
+    let mut bytes = vec![0; n];
+    stream.read_exact(&mut bytes)?;
+    Ok(bytes)
+}
+
+/// Head and body of an HTTP message.
+fn message(stream: &mut impl Read) -> std::io::Result<(String, Vec<u8>)> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.extend(exactly(stream, 1)?);
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    let length = head
+        .lines()
+        .find_map(|l| l.strip_prefix("Content-Length: "))
+        .map_or(0, |l| l.parse().expect("length"));
+    Ok((head, exactly(stream, length)?))
+}
+
+/// The text that a body carries: of a v2 JSON body its first tensor's, else the bytes.
+fn content(body: &[u8]) -> String {
+    let plain = String::from_utf8_lossy(body).into_owned();
+    let Ok(json) = parse(&plain) else { return plain };
+    let Some(fields) = object(&json) else { return plain };
+    let tensors =
+        if fields.contains_key("inputs") { list(fields, "inputs") } else { list(fields, "outputs") };
+    let Some(tensor) = tensors.first().and_then(object) else { return plain };
+    let data = list(tensor, "data").first().and_then(bramblepath::json::as_text).expect("data").to_owned();
+    let coded = part(tensor, "parameters").and_then(|p| text(p, "content_type")) == Some("base64");
+    if coded {
+        String::from_utf8(STANDARD.decode(data).expect("base64")).expect("text")
+    } else {
+        data
+    }
+}
+
+pub struct Client {
+    speech: Speech,
+    stream: TcpStream,
+}
+
+/// A FastCGI record.
+pub fn record(kind: u8, id: u16, content: &[u8]) -> Vec<u8> {
+    let [i0, i1] = id.to_be_bytes();
+    let [c0, c1] = (content.len() as u16).to_be_bytes();
+    [&[1, kind, i0, i1, c0, c1, 0, 0], content].concat()
+}
+
+/// A whole FastCGI request with these parameters.
+pub fn fastcgi(id: u16, params: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let pair = |(name, value): &(&str, &str)| {
+        [&[name.len() as u8, value.len() as u8], name.as_bytes(), value.as_bytes()].concat()
+    };
+    let params: Vec<u8> = params.iter().flat_map(pair).collect();
+    let mut out = record(1, id, &[0, 1, 1, 0, 0, 0, 0, 0]);
+    out.extend(record(4, id, &params));
+    out.extend(record(4, id, &[]));
+    for piece in body.chunks(8_000) {
+        out.extend(record(5, id, piece));
+    }
+    out.extend(record(5, id, &[]));
+    out
+}
+
+/// Reads one FastCGI answer: its head and body, and the protocol status.
+pub fn fastcgi_answer(stream: &mut TcpStream) -> std::io::Result<(String, Vec<u8>, u8)> {
+    let mut out = Vec::new();
+    loop {
+        let header = exactly(stream, 8)?;
+        let content = exactly(stream, usize::from(u16::from_be_bytes([header[4], header[5]])))?;
+        exactly(stream, header[6].into())?;
+        match header[1] {
+            6 => out.extend(content),
+            3 => {
+                let text = String::from_utf8_lossy(&out).into_owned();
+                let (head, _) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+                let body = out[(head.len() + 4).min(out.len())..].to_vec();
+                return Ok((head.to_owned(), body, content[4]));
+            }
+            kind => panic!("record {kind}"),
+        }
+    }
+}
+
+impl Client {
+    fn send(&mut self, class: &str, key: &str, body: &str, wait: &str) {
+        static IDS: AtomicU64 = AtomicU64::new(1);
+        let id = IDS.fetch_add(1, Ordering::Relaxed);
+        let (wire, path) = (format!("{id:016x}"), format!("/v1/{class}"));
+        let bytes = match self.speech {
+            Speech::Platform => {
+                let mut params = vec![
+                    ("SCRIPT_NAME", &path[..]),
+                    ("HTTP_REQ_ID", &wire),
+                    ("HTTP_REQ_WAIT_MS", wait),
+                    ("HTTP_REQ_OWNER", "acme"),
+                    ("HTTP_REQ_KEY", FUNCTION),
+                    ("HTTP_X_MORE", "memory_mb:512;lanes:4;load_ms:640"),
+                ];
+                if key != "-" {
+                    params.push(("HTTP_REQ_TOKEN", key));
+                }
+                fastcgi(id as u16, &params, body.as_bytes())
+            }
+            Speech::Kserve => {
+                let token = if key == "-" { String::new() } else { format!(r#""token":"{key}","#) };
+                let body = format!(
+                    r#"{{"id":"{wire}","parameters":{{"class":"{class}","tenant":"acme","wait_ms":{wait},{token}"memory_mb":512,"lanes":4,"load_ms":640}},"inputs":[{{"name":"body","shape":[1],"datatype":"BYTES","data":["{body}"]}}]}}"#
+                );
+                let length = body.len();
+                format!("POST /v2/models/{FUNCTION}/infer HTTP/1.1\r\nHost: t\r\nContent-Length: {length}\r\n\r\n{body}")
+                    .into_bytes()
+            }
+        };
+        self.stream.write_all(&bytes).expect("written");
+    }
+
+    /// The next final answer, in the scenario's words.
+    fn answer(&mut self, context: &str) -> String {
+        let (head, body, refused) = match self.speech {
+            Speech::Platform => {
+                let (head, body, status) = fastcgi_answer(&mut self.stream).expect(context);
+                let refused = head.contains("Status: 503") || status == 2;
+                assert!(!refused || status == 2 || head.contains("Srv-Wait-Ms: "), "{context}: no advice");
+                (head, body, refused)
+            }
+            Speech::Kserve => {
+                let (head, body) = message(&mut self.stream).expect(context);
+                let refused = head.starts_with("HTTP/1.1 503");
+                assert!(!refused || head.contains("Retry-After: "), "{context}: no advice");
+                (head, body, refused)
+            }
+        };
+        if head.contains(" 200 ") {
+            return format!("served {}", content(&body));
+        }
+        if self.speech == Speech::Kserve {
+            assert!(String::from_utf8_lossy(&body).starts_with(r#"{"error":""#), "{context}: {body:?}");
+        }
+        if refused { "refused" } else { "failed" }.to_owned()
+    }
+
+    fn nothing(&mut self, context: &str) {
+        self.stream.set_read_timeout(Some(QUIET)).expect("set");
+        let got = self.stream.read(&mut [0; 64]);
+        assert!(got.is_err(), "{context}: {got:?}");
+        self.stream.set_read_timeout(Some(PATIENCE)).expect("set");
+    }
+}
+
+/// Starts a stand-in worker: it answers orders by itself, as one on which a copy of everything stands.
+fn worker(speech: Speech, hall: usize, seen: Sender<Call>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let seen = seen.clone();
+            std::thread::spawn(move || match speech {
+                Speech::Platform => frames(stream, hall, &seen),
+                Speech::Kserve => infer(stream, hall, &seen),
+            });
+        }
+    });
+    address
+}
+
+fn frame(code: u8, id: u64, fields: &str, body: &[u8]) -> Vec<u8> {
+    let content = [fields.as_bytes(), body].concat();
+    let mut out = vec![127, code];
+    out.extend((fields.len() as u16).to_be_bytes());
+    out.extend((body.len() as u32).to_be_bytes());
+    out.extend(id.to_be_bytes());
+    out.extend(&content);
+    out.extend(crc32fast::hash(&content).to_be_bytes());
+    out
+}
+
+fn frames(mut stream: TcpStream, hall: usize, seen: &Sender<Call>) {
+    while let Ok(header) = exactly(&mut stream, 16) {
+        let length = usize::from(u16::from_be_bytes([header[2], header[3]]));
+        let body = u32::from_be_bytes(header[4..8].try_into().expect("four")) as usize;
+        let id = u64::from_be_bytes(header[8..].try_into().expect("eight"));
+        let Ok(content) = exactly(&mut stream, length + body + 4) else { return };
+        let (content_part, check) = content.split_at(length + body);
+        assert_eq!((header[0], check), (126, &crc32fast::hash(content_part).to_be_bytes()[..]));
+        let fields = String::from_utf8_lossy(&content_part[..length]).into_owned();
+        let field = |name: &str| {
+            let found = fields.split(',').find_map(|p| p.strip_prefix(name)?.strip_prefix('='));
+            found.unwrap_or("-").to_owned()
+        };
+        match header[1] {
+            6 => stream.write_all(&frame(200, id, "slots_up=1", &[])).expect("written"),
+            2 => {
+                assert_eq!(field("path"), FUNCTION);
+                let (class, key, body) =
+                    (field("queue"), field("uniq"), self::content(&content_part[length..]));
+                let stream = stream.try_clone().expect("cloned");
+                let _ = seen.send(Call { speech: Speech::Platform, hall, id, class, key, body, stream });
+            }
+            _ => {}
+        }
+    }
+}
+
+fn infer(mut stream: TcpStream, hall: usize, seen: &Sender<Call>) {
+    while let Ok((head, body)) = message(&mut stream) {
+        let target = head.split(' ').nth(1).expect("a target").to_owned();
+        let mut say = |body: &str| {
+            let length = body.len();
+            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}").expect("written");
+        };
+        if target == "/v2/repository/index" {
+            say(&format!(r#"[{{"name":"{FUNCTION}","state":"READY"}}]"#));
+        } else if target.starts_with("/v2/repository/models/") {
+            say(r#"{"parameters":{"slots_up":1}}"#);
+        } else {
+            assert_eq!(target, format!("/v2/models/{FUNCTION}/infer"));
+            let json = parse(&String::from_utf8_lossy(&body)).expect("JSON");
+            let told = part(object(&json).expect("an object"), "parameters").expect("parameters");
+            let word = |name: &str| text(told, name).unwrap_or("-").to_owned();
+            let (class, key, body) = (word("class"), word("token"), content(&body));
+            let stream = stream.try_clone().expect("cloned");
+            let _ = seen.send(Call { speech: Speech::Kserve, hall, id: 0, class, key, body, stream });
+        }
+    }
+}
+
+impl Call {
+    fn answer(&self, answer: &[&str]) {
+        let (code, status, body) = match *answer {
+            ["ok", body] => (200, "200 OK", body),
+            ["half"] => (200, "200 OK", "cut-short"),
+            ["miss"] => (202, "404 Not Found", ""),
+            ["full"] => (203, "503 Service Unavailable", ""),
+            ["error"] => (204, "500 Internal Server Error", ""),
+            _ => panic!("no such answer: {answer:?}"),
+        };
+        let bytes = match self.speech {
+            Speech::Platform => frame(code, self.id, "detail=resident", body.as_bytes()),
+            Speech::Kserve => {
+                let data = format!(
+                    r#"{{"parameters":{{"detail":"resident"}},"outputs":[{{"name":"body","shape":[1],"datatype":"BYTES","data":["{body}"]}}]}}"#
+                );
+                let body = if code == 200 { &data } else { r#"{"error":"no"}"# };
+                format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+            }
+        };
+        let half = *answer == ["half"];
+        let part = if half { &bytes[..bytes.len() - 8] } else { &bytes[..] };
+        (&self.stream).write_all(part).expect("written");
+        if half {
+            self.stream.shutdown(Shutdown::Both).expect("open");
+        }
+    }
+}
--- /dev/null
+++ b/wrenseam/tests/fronts.rs
@@ -0,0 +1,130 @@
+//! The program as clients and workers meet it: every scenario through both fronts, to workers of both speeches.
+mod common;
+
+use common::{Speech, Stage};
+use rstest::rstest;
+use Speech::{Kserve, Platform};
+
+/// One of each end that a request may come to.
+const MIX: &str = "
+    client send tile-render - one 3000
+    worker expect tile-render - one
+    worker send ok ONE
+    client expect served ONE
+    client send tile-order k1 two 3000
+    worker expect tile-order k1 two
+    worker send half
+    worker expect tile-order k1 two same
+    worker send ok TWO
+    client expect served TWO
+    client send tile-render - three 3000
+    worker expect tile-render - three
+    worker send full
+    worker expect tile-render - three
+    worker send ok THREE
+    client expect served THREE
+    client send tile-order - four 3000
+    client expect failed
+    client send tile-order k5 five 400
+    worker expect tile-order k5 five
+    client expect failed
+    worker expect nothing
+";
+
+/// The same mix through either front to either kind of worker comes to the same ends, and workers see the same.
+#[test]
+fn the_same_mix_ends_alike_on_every_path() {
+    let stages = [Platform, Kserve].map(Stage::new);
+    let seen: Vec<Vec<String>> =
+        stages.iter().flat_map(|stage| [Platform, Kserve].map(|front| stage.play(front, MIX))).collect();
+    assert_eq!(seen[0].len(), 11);
+    for other in &seen[1..] {
+        assert_eq!(&seen[0], other);
+    }
+}
+
+#[rstest]
+// What the class allows: a keyed request goes no further than the hall that drops its repeats.
+#[case::keyed_stays_in_its_hall(
+    "
+    client send tile-order k1 x 700
+    worker expect tile-order k1 x
+    worker send half
+    worker expect tile-order k1 x same
+    worker close
+    client expect failed
+    worker expect nothing"
+)]
+// An error may have run: the key protects the resend.
+#[case::keyed_after_an_error(
+    "
+    client send tile-order k2 x 2000
+    worker expect tile-order k2 x
+    worker send error
+    worker expect tile-order k2 x same
+    worker send ok DONE
+    client expect served DONE"
+)]
+// Nothing ran anywhere: refused, and trying again is harmless.
+#[case::full_everywhere(
+    "
+    client send tile-order k3 x 2000
+    worker expect tile-order k3 x
+    worker send full
+    worker expect tile-order k3 x
+    worker send full
+    worker expect tile-order k3 x
+    worker send full
+    client expect refused"
+)]
+#[case::miss_goes_elsewhere(
+    "
+    client send tile-render - x 2000
+    worker expect tile-render - x
+    worker send miss
+    worker expect tile-render - x
+    worker send ok DONE
+    client expect served DONE"
+)]
+#[case::cut_answer_of_a_safe_class(
+    "
+    client send tile-render - x 2000
+    worker expect tile-render - x
+    worker send half
+    worker expect tile-render - x
+    worker send ok DONE
+    client expect served DONE"
+)]
+// A worker that says nothing: our own timer ends the request, and its late answer goes nowhere.
+#[case::late_answers_are_dropped(
+    "
+    client send tile-order k4 x 300
+    worker expect tile-order k4 x
+    client expect failed
+    worker send ok LATE
+    client expect nothing
+    client send tile-render - y 2000
+    worker expect tile-render - y
+    worker send ok DONE
+    client expect served DONE"
+)]
+#[case::unknown_class(
+    "
+    client send tile-sketch - x 2000
+    client expect failed
+    worker expect nothing"
+)]
+#[case::a_client_that_leaves_is_owed_nothing(
+    "
+    client send tile-render - x 2000
+    worker expect tile-render - x
+    client close
+    worker send ok LATE
+    worker expect nothing"
+)]
+fn scenario(
+    #[case] lines: &str, #[values(Platform, Kserve)] front: Speech,
+    #[values(Platform, Kserve)] workers: Speech,
+) {
+    Stage::new(workers).play(front, lines);
+}
--- /dev/null
+++ b/wrenseam/tests/program.rs
@@ -0,0 +1,118 @@
+//! The program at its edges: odd input, health, administration, and its planned end.
+mod common;
+
+use common::{connect, fastcgi, fastcgi_answer, get, record, Speech, Stage, FUNCTION};
+use rstest::rstest;
+use std::io::{Read, Write};
+
+fn params(body: &'static str) -> Vec<(&'static str, &'static str)> {
+    vec![
+        ("SCRIPT_NAME", "/v1/tile-render"),
+        ("HTTP_REQ_ID", "00000000000000aa"),
+        ("HTTP_REQ_WAIT_MS", body),
+        ("HTTP_REQ_KEY", FUNCTION),
+    ]
+}
+
+/// What cannot be served ends in an answer of its own, and the connection goes on.
+#[rstest]
+#[case::body_too_long(fastcgi(1, &params("900"), &[7; 17_000]), "Status: 400", 0)]
+#[case::no_wait(fastcgi(1, &params("soon"), b""), "Status: 400", 0)]
+#[case::no_parameters(fastcgi(1, &[], b""), "Status: 400", 0)]
+#[case::unknown_role(record(1, 1, &[0, 2, 1, 0, 0, 0, 0, 0]), "", 3)]
+#[case::health(fastcgi(1, &[("SCRIPT_NAME", "/healthz")], b""), "Status: 200", 0)]
+fn odd_requests_are_answered(#[case] bytes: Vec<u8>, #[case] head: &str, #[case] status: u8) {
+    let stage = Stage::new(Speech::Platform);
+    let mut stream = connect(stage.front);
+    for _ in 0..2 {
+        stream.write_all(&bytes).expect("written");
+        let (got, _, protocol) = fastcgi_answer(&mut stream).expect("an answer");
+        assert!(got.starts_with(head) && protocol == status, "{got} {protocol}");
+    }
+}
+
+/// What is not the protocol ends its connection, and only that.
+#[rstest]
+#[case::not_fastcgi(b"GET / HTTP/1.1\r\n\r\n".to_vec())]
+#[case::begun_twice([record(1, 1, &[0, 1, 1, 0, 0, 0, 0, 0]), record(1, 1, &[0, 1, 1, 0, 0, 0, 0, 0])].concat())]
+#[case::begin_cut_short(record(1, 1, &[0, 1]))]
+fn what_is_not_fastcgi_ends_its_connection(#[case] bytes: Vec<u8>) {
+    let stage = Stage::new(Speech::Platform);
+    let mut stream = connect(stage.front);
+    stream.write_all(&bytes).expect("written");
+    assert_eq!(stream.read(&mut [0; 64]).unwrap_or(0), 0);
+    stage.play(Speech::Platform, SERVED);
+}
+
+/// The same for HTTP: an error object, then the end.
+#[rstest]
+#[case::garbage("\u{1}\r\n\r\n", "400")]
+#[case::too_long(
+    "POST /v2/models/7f3a9c21e0b4d655/infer HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+    "413"
+)]
+#[case::two_lengths("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "400")]
+#[case::chunked("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "411")]
+#[case::unknown_model("GET /v2/models/x/ready HTTP/1.1\r\nConnection: close\r\n\r\n", "404")]
+#[case::not_json("POST /v2/models/7f3a9c21e0b4d655/infer HTTP/1.0\r\nContent-Length: 1\r\n\r\nx", "400")]
+fn odd_http_is_answered(#[case] bytes: &str, #[case] status: &str) {
+    let stage = Stage::new(Speech::Kserve);
+    let mut stream = connect(stage.kserve);
+    stream.write_all(bytes.as_bytes()).expect("written");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    assert!(
+        answer.starts_with(&format!("HTTP/1.1 {status} ")) && answer.contains(r#"{"error":""#),
+        "{answer}"
+    );
+    stage.play(Speech::Kserve, SERVED);
+}
+
+const SERVED: &str = "
+    client send tile-render - x 3000
+    worker expect tile-render - x
+    worker send ok DONE
+    client expect served DONE";
+
+#[test]
+fn health_metadata_and_state_are_told() {
+    let stage = Stage::new(Speech::Kserve);
+    stage.play(Speech::Platform, SERVED);
+    for (path, told) in [
+        ("/v2/health/live", r#"{"live":true}"#),
+        ("/v2/health/ready", r#"{"ready":true}"#),
+        ("/v2/models/7f3a9c21e0b4d655/ready", r#""ready":true"#),
+        ("/v2/models/7f3a9c21e0b4d655/versions/1/ready", r#""ready":true"#),
+        ("/v2/models/7f3a9c21e0b4d655", r#""platform":"wrenseam""#),
+    ] {
+        let answer = get(stage.kserve, path);
+        assert!(answer.starts_with("HTTP/1.1 200") && answer.contains(told), "{path}: {answer}");
+    }
+    let state = get(stage.admin, "/v1/state");
+    assert!(state.contains(r#""asked":1"#) && state.contains(r#""speech":"kserve""#), "{state}");
+}
+
+/// A request that is open at SIGTERM, and one that comes just after it, are answered before the end.
+#[test]
+fn a_planned_end_answers_what_was_taken() {
+    let mut stage = Stage::new(Speech::Platform);
+    stage.play(Speech::Platform, SERVED);
+    let mut stream = connect(stage.front);
+    stream.write_all(&fastcgi(1, &params("1200"), b"open")).expect("written");
+    assert!(stage.stop());
+    let (head, _, _) = fastcgi_answer(&mut stream).expect("an answer before the end");
+    assert!(head.starts_with("Status: 5"), "{head}");
+}
+
+/// Given up by the client: no answer, and the id can be used anew.
+#[test]
+fn an_aborted_request_gets_no_answer() {
+    let stage = Stage::new(Speech::Platform);
+    stage.play(Speech::Platform, SERVED);
+    let mut stream = connect(stage.front);
+    stream.write_all(&fastcgi(1, &params("60000"), b"given up")).expect("written");
+    stream.write_all(&record(2, 1, &[])).expect("written");
+    stream.write_all(&fastcgi(1, &[("SCRIPT_NAME", "/healthz")], b"")).expect("written");
+    let (head, _, _) = fastcgi_answer(&mut stream).expect("an answer");
+    assert!(head.starts_with("Status: 200"), "{head}");
+}
