Keep 20 ms of each wait for the answer's way; log when the core runs late

Cause as far as it shows: a stall of more than the 58 ms that were left. Changed: core/mod.rs left(): the module is told 20 ms less. Ruled out: the module's own timer, which fired.

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -19,6 +19,8 @@
 
 const SWEEP: Micros = 1_000_000; // period in which idle connections are looked for
 
+const LATE: Micros = 20_000; // more than an answer's margin: worth a line in the log
+
 /// What other parts may read of the core without asking it.
 #[derive(Default)]
 pub struct Shared {
@@ -119,6 +121,12 @@
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
+            let now = self.clock.now();
+            let late = self.timers.late(now);
+            if late > LATE {
+                // Tells a starved machine from a fault of ours: answers owed in that time may have come late.
+                eprintln!("core: ran {} ms late, {} requests open", late / 1000, self.requests.len());
+            }
             while let Some(due) = self.timers.due(self.clock.now()) {
                 self.due(due);
                 self.decide();
@@ -163,7 +171,7 @@
         self.last += 1;
         let id = self.last;
         let now = self.clock.now();
-        let left = request.wait.saturating_sub(now.saturating_sub(self.clock.at(request.read_at)));
+        let left = self.left(now, &request);
         self.events.push_back(Event::Request {
             id,
             class,
@@ -184,6 +192,13 @@
         self.requests.insert(id, Open { request, client, tag, tenant, answered, attempts });
     }
 
+    /// What is left of a client's wait, less what its answer may need. Guards against answers lost to a
+    /// machine that stands still for some tens of milliseconds just before a client leaves.
+    fn left(&self, now: Micros, request: &Request) -> Micros {
+        let past = now.saturating_sub(self.clock.at(request.read_at));
+        request.wait.saturating_sub(past + self.limits.answer_margin)
+    }
+
     fn count(&mut self, tenant: Option<usize>) -> &mut Counts {
         let last = self.counts.len() - 1;
         &mut self.counts[tenant.unwrap_or(last).min(last)]
@@ -340,8 +355,10 @@
     fn send(&mut self, now: Micros, id: u64, worker: String, timeout: Micros) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let key = AttemptKey { request: id, attempt: open.attempts.len() };
-        let left = open.request.wait.saturating_sub(now.saturating_sub(self.clock.at(open.request.read_at)));
+        let request = open.request.clone();
+        let left = self.left(now, &request);
         let budget = if timeout == 0 { left } else { timeout.min(left) };
+        let Some(open) = self.requests.get_mut(&id) else { return };
         open.attempts.push(Attempt { worker: worker.clone(), sent: now, open: true });
         let ready = |p: &&mut Peer| p.member.state == WorkerState::Ready;
         match self.peers.get_mut(&worker).filter(ready) {
--- a/wrenseam/src/core/timers.rs
+++ b/wrenseam/src/core/timers.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// By how much the next timer is overdue.
+    pub fn late(&self, now: Micros) -> Micros {
+        self.heap.peek().map_or(0, |Reverse((at, _, _))| now.saturating_sub(*at))
+    }
+
     /// How long nothing is due.
     pub fn wait(&self, now: Micros) -> Duration {
         let next = self.heap.peek().map(|Reverse((at, _, _))| at.saturating_sub(now));
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -27,6 +27,8 @@
     pub worker_ring: usize,
     /// Stack of a coroutine, in bytes.
     pub stack: usize,
+    /// Part of a client's wait kept for the way of its answer: the module never hears of it.
+    pub answer_margin: Micros,
     /// What a v2 client waits that does not say.
     pub default_wait: Micros,
     /// Connections to one v2 worker: each carries one exchange at a time.
@@ -81,6 +83,7 @@
             } else {
                 100
             },
+            answer_margin: 20_000,
             default_wait: 4_000_000,
             lanes_per_worker: (sockets / 128).max(2),
             connect: span(settings.connect_timeout, 250),
