--- /dev/null
+++ b/wrenseam/tests/codecs.rs
@@ -0,0 +1,101 @@
+//! Readers of the wires, fed by hand.
+use bramblepath::json::{object, parse};
+use bramblepath::WorkerState;
+use rstest::rstest;
+use wrenseam::core::Speech;
+use wrenseam::http::{Chunked, Coded, Head};
+use wrenseam::ring::Ring;
+use wrenseam::roster::{endpoints, notice, Events};
+use wrenseam::worker::frames::Decoder;
+
+fn answer(code: u8, body: &[u8]) -> Vec<u8> {
+    let mut frame = vec![127, code, 0, 0, 0, 0, 0, body.len() as u8, 0, 0, 0, 0, 0, 0, 0, 9];
+    frame.extend(body);
+    frame.extend(crc32fast::hash(body).to_be_bytes());
+    frame
+}
+
+/// Frames come out whole however they are cut, also across the ring's edge.
+#[rstest]
+fn frames_are_put_together(#[values(1, 3, 7, 50)] piece: usize) {
+    let (mut ring, mut decoder, mut bodies) = (Ring::new(64), Decoder::default(), Vec::new());
+    let stream = [answer(200, b"one"), answer(202, b""), answer(200, b"three")].concat();
+    for part in stream.chunks(piece) {
+        assert_eq!(ring.push(part), part.len());
+        while let Some(frame) = decoder.next(&mut ring, 100).expect("sound") {
+            assert_eq!(frame.id, 9);
+            bodies.push(frame.body);
+        }
+    }
+    assert_eq!(bodies, [&b"one"[..], b"", b"three"]);
+}
+
+/// A stream out of step is told from one that is merely not whole yet.
+#[rstest]
+#[case::mark(0, 126)]
+#[case::length(4, 255)]
+#[case::check_sum(19, 1)]
+fn bad_frames_are_refused(#[case] at: usize, #[case] byte: u8) {
+    let mut bytes = answer(200, b"body");
+    bytes[at] = byte;
+    let mut ring = Ring::new(64);
+    ring.push(&bytes);
+    assert!(Decoder::default().next(&mut ring, 100).is_err());
+}
+
+#[test]
+fn events_of_the_board_are_read() {
+    let mut events = Events::default();
+    let text = ": comment\nid: 7\r\ndata: {\"a\":\r\ndata: 1}\r\n\r\n: more\n\nid:8\ndata:x\n\n";
+    let found: Vec<_> = text.bytes().filter_map(|b| events.byte(b)).collect();
+    let pair = |id: &str, data: &str| (id.to_owned(), data.to_owned());
+    assert_eq!(found, [pair("7", "{\"a\":\n1}"), pair("8", "x")]);
+}
+
+#[test]
+fn chunks_are_undone() {
+    let mut chunked = Chunked::default();
+    let coded: Vec<Coded> =
+        b"3\r\nabc\r\n1;x=y\r\nd\r\n0\r\n".iter().map(|&b| chunked.byte(b).expect("sound")).collect();
+    let content: Vec<u8> =
+        coded.iter().filter_map(|c| if let Coded::Byte(b) = c { Some(*b) } else { None }).collect();
+    assert_eq!((content, coded.last()), (b"abcd".to_vec(), Some(&Coded::End)));
+    let mut broken = Chunked::default();
+    assert!(b"zz\r\n".iter().any(|&b| broken.byte(b).is_err()));
+}
+
+#[rstest]
+#[case::smuggled("POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n")]
+#[case::negative("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n")]
+#[case::garbage("\0\r\n\r\n")]
+fn bad_heads_are_refused(#[case] head: &str) {
+    assert!(Head::request(head.as_bytes()).is_err());
+}
+
+#[test]
+fn a_notice_becomes_members() {
+    let text = r#"{"rev":41,"pool":{"generation":7,"reset":true,"instances":[{"instanceId":"s-1","hostPort":
+        "127.0.0.1:9","zone":"east","machineType":"std","cell":2,"lifecycle":"draining","startedAtMs":5}]}}"#;
+    let json = parse(text).expect("JSON");
+    let (full, members) = notice(object(&json).expect("an object")).expect("sound");
+    let m = &members[0];
+    assert!(full && m.state == WorkerState::Draining && m.started_at == 5_000 && m.cell == 2, "{m:?}");
+}
+
+/// Envoy's rules: an endpoint of unknown health takes work, one that drains takes nothing new.
+#[rstest]
+#[case::not_told("", WorkerState::Ready)]
+#[case::healthy(r#""health_status":"HEALTHY","#, WorkerState::Ready)]
+#[case::draining(r#""health_status":"DRAINING","#, WorkerState::Draining)]
+#[case::unhealthy(r#""health_status":"UNHEALTHY","#, WorkerState::Gone)]
+fn endpoints_become_members(#[case] health: &str, #[case] state: WorkerState) {
+    let text = format!(
+        r#"{{"resources":[{{"cluster_name":"tiles","endpoints":[{{"locality":{{"zone":"east"}},"lb_endpoints":[
+        {{{health}"endpoint":{{"address":{{"socket_address":{{"address":"127.0.0.1","port_value":9}}}}}},
+        "metadata":{{"filter_metadata":{{"wrenseam":{{"id":"w1","cell":3}}}}}}}}]}}]}}]}}"#
+    );
+    let json = parse(&text).expect("JSON");
+    let members = endpoints(object(&json).expect("an object")).expect("sound");
+    let m = &members[0];
+    assert_eq!((m.state, m.speech, &m.id[..], &m.zone[..], m.cell), (state, Speech::Kserve, "w1", "east", 3));
+}
