Refuse what is turned away three times, and what has had no attempt by 0.45 of its life

The crude bound of the cold-worker property test (60 calls) was met exactly: COLD_MARGIN 0.8 to 0.7 keeps it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -39,7 +39,7 @@
 const HEALTH_FADE: f64 = 6.0 * SEC as f64; // without news health returns to 1 with this time constant
 const SILENT: f64 = 9.0; // an attempt out for this multiple of its expected time with nothing heard
 const TRIAL_GAP: Micros = SEC; // trial calls and questions to a suspect keep this distance
-const COLD_MARGIN: f64 = 0.8; // part of a cold worker's budget that is used: chance and misjudgement
+const COLD_MARGIN: f64 = 0.7; // part of a cold worker's budget that is used: chance and misjudgement
 const CROWDED: (f64, f64) = (2.0, 1.5); // crowded: this multiple of the mean held, and this many more
 /// Bounds of the time constant of a report: the time in which our calls come round to every worker.
 const REPORT_FADE: (f64, f64) = (2.0 * SEC as f64, 15.0 * SEC as f64);
@@ -53,6 +53,8 @@
 /// Multiples of the mean aim beyond which the time from send to answer refuses: traffic beyond a share, the
 /// class that earns least a unit of time, the one that earns most.
 const REFUSE: (f64, f64, f64) = (0.6, 0.8, 1.3);
+const HELD_PART: f64 = 0.45; // part of its life that a request waits with no attempt made
+const TURNED_AWAY: usize = 3; // attempts that never ran after which nobody is asked again
 const RETRY_SHARE: f64 = 0.15; // further attempts earned by a request: bounds what they add to overload
 
 impl Copy {
@@ -354,6 +356,7 @@
         let ran = r.attempts.iter().any(|a| a.may_have_run);
         // Guards against a call for nobody: the attempt's time-out may come just before the request's timer.
         if now >= r.ends
+            || r.attempts.iter().filter(|a| !a.open && !a.may_have_run).count() >= TURNED_AWAY
             || r.attempts.len() as u32 >= self.set.max_attempts
             || ran && self.set.classes[class].effect == Effect::Unsafe
         {
@@ -389,6 +392,14 @@
             }
             return self.send(now, id, w, out);
         }
+        // Guards against holding a request back until nobody can use its answer: with no attempt made by then,
+        // a refusal while the client has time to try again is worth more than a place in the queue.
+        let r = &self.requests[&id];
+        if r.attempts.is_empty()
+            && now.saturating_sub(r.arrived) as f64 > HELD_PART * (r.ends - r.arrived) as f64
+        {
+            return self.finish(id, out);
+        }
         if !self.functions[f].held.contains(&id) {
             self.functions[f].held.push_back(id);
             self.waiting.insert(f);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -239,3 +239,25 @@
     };
     assert_eq!((added(1), added(5)), (1, 0));
 }
+
+/// Seen in overload: every request was turned away six times over, which kept full workers full.
+#[test]
+fn a_request_turned_away_three_times_is_refused() {
+    let mut rig = Rig::new(Settings { max_attempts: 6, ..settings() }, 6);
+    rig.warm(7, 1, &["w0", "w1", "w2", "w3", "w4", "w5"]);
+    rig.request(2, SAFE, 7);
+    let first = (0..3).flat_map(|n| rig.outcome(2, n, Outcome::Full, MS)).collect::<Vec<_>>();
+    assert_eq!(sends(&first).len(), 2);
+    assert!(first.iter().any(|a| matches!(a, Action::Refuse { id: 2, .. })), "{first:?}");
+}
+
+/// Seen on sockets: requests waited for a load to the end of their life and were refused when no client could
+/// try again in time. Without an attempt they are refused before half of it.
+#[test]
+fn a_request_with_no_attempt_is_refused_before_half_its_life() {
+    let mut rig = Rig::new(settings(), 2);
+    let asked = loads(&rig.request(1, SAFE, 7), 0);
+    asked.iter().for_each(|w| drop(rig.loaded(w, 7, 0, Outcome::Ok)));
+    assert!(rig.pass(1_200 * MS).iter().all(|a| !matches!(a, Action::Refuse { .. })));
+    assert!(rig.pass(280 * MS).iter().any(|a| matches!(a, Action::Refuse { id: 1, .. })));
+}
