--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -83,7 +83,7 @@
             } else {
                 100
             },
-            answer_margin: 50_000,
+            answer_margin: 80_000,
             default_wait: 4_000_000,
             lanes_per_worker: (sockets / 128).max(2),
             connect: span(settings.connect_timeout, 250),
