--- a/src/control.rs
+++ b/src/control.rs
@@ -40,7 +40,11 @@
 const SILENT: f64 = 9.0; // an attempt out for this multiple of its expected time with nothing heard
 const TRIAL_GAP: Micros = SEC; // trial calls and questions to a suspect keep this distance
 const COLD_MARGIN: f64 = 0.7; // part of a cold worker's budget that is used: chance and misjudgement
-const CROWDED: (f64, f64) = (2.0, 1.5); // crowded: this multiple of the mean held, and this many more
+/// Crowded: this multiple of the mean held, and this many more. Few gateways see most of what a worker holds
+/// themselves: there a tight bound made losses, and so loads, of ordinary unevenness.
+const CROWDED: (f64, f64) = (1.25, 0.75);
+const CROWDED_FEW: (f64, f64) = (2.0, 1.5);
+const FEW: u32 = 16; // gateways
 /// Bounds of the time constant of a report: the time in which our calls come round to every worker.
 const REPORT_FADE: (f64, f64) = (2.0 * SEC as f64, 15.0 * SEC as f64);
 const REPORT_KEPT: Micros = 20 * SEC; // the mean held takes in last reports so long: few calls, many workers
@@ -212,7 +216,9 @@
 
     /// Guards against piling up on a worker that others fill or that is weak: it holds more than the mean.
     fn crowded(&self, w: usize, now: Micros) -> bool {
-        self.held_at(w, now) * self.workers[w].health > self.mean_held * CROWDED.0 + CROWDED.1
+        let few = (2..=FEW).contains(&self.set.gateways);
+        let bound = if few { CROWDED_FEW } else { CROWDED };
+        self.held_at(w, now) * self.workers[w].health > self.mean_held * bound.0 + bound.1
     }
 
     /// Requests a worker is thought to hold: its last report, fading to the mean, and ours since.
@@ -726,8 +732,8 @@
         let function = &self.functions[f];
         let pending = function.at.values().any(|c| c.holding() || c.cold_sends > 0);
         // Exception, while several gateways share the workers: each answers the same losses, and together they
-        // would load more copies than memory holds and unload each other's. So calls in flight, taken over all
-        // gateways, bound the copies that we know of.
+        // would load more copies than memory holds and unload each other's. So calls in flight, taken over
+        // all gateways, bound the copies that we know of.
         let known = self.counts(function, now).0 as f64;
         let bound = 1.0 + (COPIES_PER_CALL * self.fleet_calls(f, function.service)).round();
         let enough = self.set.gateways > 1 && known >= bound;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -261,3 +261,26 @@
     assert!(rig.pass(1_200 * MS).iter().all(|a| !matches!(a, Action::Refuse { .. })));
     assert!(rig.pass(280 * MS).iter().any(|a| matches!(a, Action::Refuse { id: 1, .. })));
 }
+
+/// Seen in the simulator: with a handful of gateways ordinary unevenness read as crowding, each time a loss.
+#[test]
+fn few_gateways_do_not_take_unevenness_for_crowding() {
+    let kept = |gateways| {
+        let mut rig = Rig::new(Settings { gateways, ..settings() }, 4);
+        rig.warm(7, 1, &["w0", "w1", "w2", "w3"]);
+        let mut calls = 0;
+        for id in 10..210 {
+            let worker = sends(&rig.request(id, SAFE, 7)).remove(0);
+            let inflight = Some(if worker == "w0" { 8.0 } else { 4.0 });
+            let (attempt, outcome, elapsed, closed) = (0, Outcome::Ok, 50 * MS, true);
+            let (warm, crowd) = (Some(true), None);
+            rig.feed(Event::Outcome { id, attempt, outcome, elapsed, closed, warm, crowd, inflight });
+            rig.pass(100 * MS);
+            calls += usize::from(worker == "w0");
+        }
+        calls
+    };
+    // An even share would be 50.
+    let (few, many) = (kept(4), kept(200));
+    assert!(few >= 40 && many < 40, "{few} and {many}");
+}
