--- a/src/control.rs
+++ b/src/control.rs
@@ -398,8 +398,8 @@
             }
             return self.send(now, id, w, out);
         }
-        // Guards against holding a request back until nobody can use its answer: with no attempt made by then,
-        // a refusal while the client has time to try again is worth more than a place in the queue.
+        // Guards against holding a request back until nobody can use its answer: with no attempt made by
+        // then, a refusal while the client has time to try again is worth more than a place in the queue.
         let r = &self.requests[&id];
         if r.attempts.is_empty()
             && now.saturating_sub(r.arrived) as f64 > HELD_PART * (r.ends - r.arrived) as f64
@@ -731,9 +731,9 @@
         let cap = if ahead { self.load_cap / 2.0 } else { self.load_cap };
         let function = &self.functions[f];
         let pending = function.at.values().any(|c| c.holding() || c.cold_sends > 0);
-        // Exception, while several gateways share the workers: each answers the same losses, and together they
-        // would load more copies than memory holds and unload each other's. So calls in flight, taken over
-        // all gateways, bound the copies that we know of.
+        // Exception, while several gateways share the workers: each answers the same losses, and together
+        // they would load more copies than memory holds and unload each other's. So calls in flight, taken
+        // over all gateways, bound the copies that we know of.
         let known = self.counts(function, now).0 as f64;
         let bound = 1.0 + (COPIES_PER_CALL * self.fleet_calls(f, function.service)).round();
         let enough = self.set.gateways > 1 && known >= bound;
