One end of an attempt in the core, for reports, time-outs and cancels alike

Seen: two copies of the same code ended an attempt, one for reports and one for our own ends. Checked: all tests of the program twice; clippy clean.

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -241,18 +241,26 @@
         }
     }
 
-    /// The end of an attempt, once: reports of an attempt that has ended already are dropped.
+    /// An attempt ended, and the module hears of it at once.
     fn ended(&mut self, key: AttemptKey, report: Report) {
-        let Some(open) = self.requests.get_mut(&key.request) else { return };
-        let Some(attempt) = open.attempts.get_mut(key.attempt).filter(|a| a.open) else { return };
-        attempt.open = false;
-        let elapsed = self.clock.now().saturating_sub(attempt.sent);
-        let (outcome, warm, crowd) = (report.outcome, report.warm, report.crowd);
-        if let (Outcome::Ok, Some(payload)) = (outcome, report.payload) {
-            self.answer(key.request, Answer::Served(payload));
-        }
-        let closed = self.requests.get(&key.request).is_none_or(|o| o.answered);
+        self.end(key, report);
+        self.decide();
+        self.forget(key.request);
+    }
+
+    /// The end of an attempt, once: reports of an attempt that has ended already are dropped. The module hears
+    /// of it as its next event.
+    fn end(&mut self, key: AttemptKey, report: Report) {
         let (id, attempt) = (key.request, key.attempt);
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(out) = open.attempts.get_mut(attempt).filter(|a| a.open) else { return };
+        out.open = false;
+        let elapsed = self.clock.now().saturating_sub(out.sent);
+        let Report { outcome, warm, crowd, payload } = report;
+        if let (Outcome::Ok, Some(payload)) = (outcome, payload) {
+            self.answer(id, Answer::Served(payload));
+        }
+        let (closed, inflight) = (self.requests.get(&id).is_none_or(|o| o.answered), None);
         self.events.push_back(Event::Outcome {
             id,
             attempt,
@@ -261,10 +269,8 @@
             closed,
             warm,
             crowd,
-            inflight: None,
+            inflight,
         });
-        self.decide();
-        self.forget(id);
     }
 
     fn ordered(&mut self, order: u64, outcome: Outcome, count: u32) {
@@ -318,7 +324,8 @@
                 let of = self.requests.get(&id).and_then(|o| o.attempts.get(attempt)).filter(|a| a.open);
                 if let Some(peer) = of.and_then(|a| self.peers.get_mut(&a.worker)) {
                     peer.transport.cancel(key);
-                    self.end(key, Outcome::Cancelled);
+                    self.end(key, Report::bare(Outcome::Cancelled));
+                    self.forget(id);
                 }
             }
             Action::Refuse { id, retry_after } => {
@@ -366,31 +373,13 @@
                 peer.transport.send(key, &open.request, budget);
                 self.timers.set(now.saturating_add(budget), Due::Attempt(key));
             }
-            _ => self.end(key, Outcome::Moot),
+            _ => {
+                self.end(key, Report::bare(Outcome::Moot));
+                self.forget(id);
+            }
         }
     }
 
-    /// Ends an attempt from our side; the module hears of it as its next event.
-    fn end(&mut self, key: AttemptKey, outcome: Outcome) {
-        let Some(open) = self.requests.get_mut(&key.request) else { return };
-        let Some(attempt) = open.attempts.get_mut(key.attempt).filter(|a| a.open) else { return };
-        attempt.open = false;
-        let elapsed = self.clock.now().saturating_sub(attempt.sent);
-        let (id, attempt, closed, warm, crowd, inflight) =
-            (key.request, key.attempt, open.answered, None, None, None);
-        self.events.push_back(Event::Outcome {
-            id,
-            attempt,
-            outcome,
-            elapsed,
-            closed,
-            warm,
-            crowd,
-            inflight,
-        });
-        self.forget(id);
-    }
-
     fn members(&mut self, source: Speech, full: bool, mut members: Vec<Member>) {
         if full {
             let listed: Vec<&String> = members.iter().map(|m| &m.id).collect();
