--- /dev/null
+++ b/wrenseam/tests/drain.rs
@@ -0,0 +1,41 @@
+//! Guards rule 3: what still waits for a connection when its worker drains is never written.
+use bramblepath::{Outcome, Settings};
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{mpsc, Arc};
+use std::time::Duration;
+use wrenseam::core::Message;
+use wrenseam::limits::Limits;
+use wrenseam::worker::frames::Frames;
+use wrenseam::worker::{Reports, Transport};
+
+#[test]
+fn an_order_that_waits_for_a_connection_is_not_written_after_a_drain() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
+    socket.listen(0).expect("listens");
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().expect("bound");
+    // Fills the queue of connections: the next one gets no answer until some are taken.
+    let mut fillers = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
+        fillers.push(stream);
+    }
+    let mut limits = Limits::new(192, 1024, &Settings::default());
+    limits.connect = Duration::from_secs(20);
+    let (queue, reports) = mpsc::channel();
+    let mut transport = Frames::new(address, Arc::new(limits), Reports(queue));
+    transport.order(1, 7, 1);
+    transport.retire();
+    let accepted: Vec<TcpStream> = (0..=fillers.len()).map(|_| listener.accept().expect("one").0).collect();
+    match reports.recv_timeout(Duration::from_secs(20)) {
+        Ok(Message::Ordered(1, outcome, 0)) => assert_eq!(outcome, Outcome::Moot),
+        _ => panic!("the order did not end"),
+    }
+    drop((transport, fillers)); // closes every connection from this side
+    for mut stream in accepted {
+        let mut got = Vec::new();
+        stream.read_to_end(&mut got).expect("closed");
+        assert!(got.is_empty(), "{got:?}");
+    }
+}
