SIGHUP reads the board's address again; the list follows it from the last event on

Checked: signals are now registered before the configuration is read (main.rs), and HUP keeps being caught after TERM. On the way, same code: an event whose number is not above the last is passed over (the board writes some twice, and an old one would undo a newer); one that cannot be read ends the connection once and is skipped the second time, where it came back at each call for ever; silence counts from 2.5 s, not 3.5, since a stop counts as told after 4. Tests in tests/board.rs: four of five fail without the change (seen); the fifth holds what stood before.

--- a/wrenseam/src/config.rs
+++ b/wrenseam/src/config.rs
@@ -64,6 +64,12 @@
         Ok(config)
     }
 
+    /// The board's address as NODE_CONFIG tells it now; all else in the file holds from start to end.
+    pub fn board_now() -> Read<SocketAddr> {
+        let path = std::env::var("NODE_CONFIG").map_err(|e| format!("NODE_CONFIG: {e}"))?;
+        address(&file(&path)?, "board")?.ok_or(format!("{path}: no 'board'"))
+    }
+
     fn read(fields: &Object, listen: Option<String>, name: Option<String>) -> Read<Config> {
         let empty = Object::new();
         let part = |key: &str| part(fields, key).unwrap_or(&empty);
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -24,8 +24,7 @@
 use std::sync::{mpsc, Arc};
 
 /// Runs one front end until it has been told to stop and nothing is open.
-pub fn run(config: Config) -> Result<(), String> {
-    let signals = shutdown::signals()?;
+pub fn run(config: Config, signals: signal_hook::iterator::Signals) -> Result<(), String> {
     let limits = Arc::new(config.limits);
     // One core is ours: more scheduler threads would only take turns on it.
     may::config().set_workers(1).set_stack_size(limits.stack / size_of::<usize>()).set_pool_capacity(64);
@@ -64,11 +63,10 @@
     if let Some(rev) = bramblepath::json::whole(&config.known, "rev") {
         last = rev;
     }
-    if let Some(board) = config.board {
-        let (limits, queue) = (limits.clone(), queue.clone());
-        net::spawn(limits.stack, move || roster::follow(board, last, &limits, &queue))
-            .map_err(|e| format!("board: {e}"))?;
-    }
+    let board = Arc::new(roster::Board::new(config.board));
+    let (own, within, core) = (board.clone(), limits.clone(), queue.clone());
+    net::spawn(limits.stack, move || roster::follow(&own, last, &within, &core))
+        .map_err(|e| format!("board: {e}"))?;
     let main = listen(config.listen, &doors, "fastcgi", front::fastcgi::serve)?;
     announce(&config.name, &main);
     let mut listeners = vec![main];
@@ -87,7 +85,7 @@
         }
     }
     let listeners: Vec<&TcpListener> = listeners.iter().map(Arc::as_ref).collect();
-    shutdown::wait(signals, &listeners, &doors);
+    shutdown::wait(signals, &listeners, &doors, &board);
     Ok(())
 }
 
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -47,6 +47,8 @@
     pub order: Micros,
     /// A notice board silent for this long (it comments each second) is called anew.
     pub board_silence: Duration,
+    /// How often the wait for the board looks whether the board has moved.
+    pub board_check: Duration,
     /// Wait before the board is called again after a failed call.
     pub board_retry: Duration,
     /// Most bytes of one event of the board.
@@ -91,7 +93,8 @@
             write_stall: Duration::from_secs(5),
             write_check: Duration::from_millis(50),
             order: if settings.order_timeout > 0 { settings.order_timeout } else { 10_000_000 },
-            board_silence: Duration::from_millis(3_500),
+            board_silence: Duration::from_millis(2_500), // what a silent board has to tell counts 4 s on
+            board_check: Duration::from_millis(50),
             board_retry: Duration::from_millis(100),
             board_event: 1024 * 1024,
             stop_listening: Duration::from_millis(700),
--- a/wrenseam/src/main.rs
+++ b/wrenseam/src/main.rs
@@ -4,7 +4,9 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match wrenseam::config::Config::from_environment().and_then(wrenseam::run) {
+    // The signals come first: one that arrives while the configuration is read must not end the program.
+    let run = |signals| wrenseam::run(wrenseam::config::Config::from_environment()?, signals);
+    match wrenseam::shutdown::signals().and_then(run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("start: {message}");
--- a/wrenseam/src/roster.rs
+++ b/wrenseam/src/roster.rs
@@ -7,11 +7,12 @@
 use bramblepath::json::{flag, list, object, parse, part, span, text, whole};
 use bramblepath::WorkerState;
 use may::net::TcpStream;
+use may::sync::Mutex;
 use miniserde::json::{Object, Value};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
-use std::time::Duration;
+use std::time::Instant;
 
 /// One event of the board: whether it is the whole list, and the members it names.
 pub fn notice(event: &Object) -> Result<(bool, Vec<Member>), String> {
@@ -119,39 +120,80 @@
     }
 }
 
-/// Follows the board for ever: whenever the connection ends it calls again, telling the last event seen.
-pub fn follow(board: SocketAddr, last: u64, limits: &Limits, core: &Sender<Message>) {
-    let mut last = last.to_string();
+/// Where the board is. It may move while the program runs.
+pub struct Board(Mutex<Option<SocketAddr>>);
+
+impl Board {
+    /// A board at this address, or none yet.
+    pub fn new(address: Option<SocketAddr>) -> Self {
+        Board(Mutex::new(address))
+    }
+
+    /// The board is elsewhere from now on; whoever follows it notices within `Limits::board_check`.
+    pub fn moved(&self, to: SocketAddr) {
+        if let Ok(mut address) = self.0.lock() {
+            *address = Some(to);
+        }
+    }
+
+    fn address(&self) -> Option<SocketAddr> {
+        self.0.lock().ok().and_then(|a| *a)
+    }
+}
+
+/// How far the board's events have been read.
+struct Seen {
+    /// Number of the last event.
+    last: u64,
+    /// The event after it could not be read, the last time it came.
+    spoilt: Option<u64>,
+}
+
+/// Follows the board for ever: whenever the connection ends or the board moves it calls again, telling the
+/// last event seen.
+pub fn follow(board: &Board, last: u64, limits: &Limits, core: &Sender<Message>) {
+    let mut seen = Seen { last, spoilt: None };
     loop {
-        let before = last.clone();
-        if let Err(why) = poll(board, &mut last, limits, core) {
-            eprintln!("board: connection ended after event {last}: {why}");
+        let (at, before) = (board.address(), seen.last);
+        if let Some(address) = at {
+            if let Err(why) = poll(board, address, &mut seen, limits, core) {
+                eprintln!("board: connection to {address} ended after event {}: {why}", seen.last);
+            }
         }
         // Called again at once, unless the call brought nothing: a board that is down is not hammered.
-        if last == before {
+        if seen.last == before && board.address() == at {
             may::coroutine::sleep(limits.board_retry);
         }
     }
 }
 
-fn poll(board: SocketAddr, last: &mut String, limits: &Limits, core: &Sender<Message>) -> Result<(), String> {
+fn poll(
+    board: &Board, address: SocketAddr, seen: &mut Seen, limits: &Limits, core: &Sender<Message>,
+) -> Result<(), String> {
     let told = |e: std::io::Error| e.to_string();
-    let mut stream = TcpStream::connect_timeout(&board, Duration::from_secs(1)).map_err(told)?;
-    stream.set_read_timeout(Some(limits.board_silence)).map_err(told)?;
+    let mut stream = TcpStream::connect_timeout(&address, limits.connect).map_err(told)?;
+    stream.set_read_timeout(Some(limits.board_check)).map_err(told)?;
     let call = format!(
-        "GET /board/poll HTTP/1.1\r\nHost: {board}\r\nAccept: text/event-stream\r\nLast-Event-ID: {last}\r\n\r\n"
+        "GET /board/poll HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
+        seen.last
     );
     stream.write_all(call.as_bytes()).map_err(told)?;
+    let mut heard = Instant::now();
     let (mut ring, mut head) = (Ring::new(limits.client_ring), Vec::new());
     let mut chunked: Option<Option<Chunked>> = None; // known once the head has been read
     let (mut events, mut line) = (Events::default(), Vec::new());
     loop {
         match ring.fill(&mut stream) {
             Ok(0) => return Err("closed".to_owned()),
-            Ok(_) => {}
+            Ok(_) => heard = Instant::now(),
+            Err(e) if timed_out(&e) && heard.elapsed() < limits.board_silence => {}
             Err(e) if timed_out(&e) => return Err("silent".to_owned()),
             Err(e) => return Err(e.to_string()),
         }
+        // Guards against waiting at an address where nothing is told any more.
+        if board.address() != Some(address) {
+            return Err("the board has moved".to_owned());
+        }
         line.clear();
         ring.take(usize::MAX, &mut line);
         for &byte in &line {
@@ -175,8 +217,7 @@
                         Coded::End => return Err("the stream ended".to_owned()),
                     };
                     if let Some((id, data)) = content.and_then(|b| events.byte(b)) {
-                        tell(&data, core)?;
-                        *last = id;
+                        tell(&id, &data, seen, core)?;
                     }
                     if events.size() > limits.board_event {
                         return Err("an event is too long".to_owned());
@@ -187,16 +228,29 @@
     }
 }
 
-fn tell(data: &str, core: &Sender<Message>) -> Result<(), String> {
-    let Ok(Value::Object(event)) = parse(data) else {
-        return Err("an event that is no JSON object".to_owned());
+/// Passes an event on, once.
+fn tell(id: &str, data: &str, seen: &mut Seen, core: &Sender<Message>) -> Result<(), String> {
+    let number = id.parse().map_err(|_| format!("an event without a number: {id}"))?;
+    // Guards against events written twice: an old one would undo what came after it.
+    if number <= seen.last {
+        return Ok(());
+    }
+    let event = match parse(data) {
+        Ok(Value::Object(event)) => notice(&event),
+        _ => Err("it is no JSON object".to_owned()),
     };
-    match notice(&event) {
+    match event {
         Ok((full, members)) => {
             let _ = core.send(Message::Members { source: Speech::Frames, full, members });
         }
-        // Guards the rest of the list against one entry that cannot be read.
-        Err(why) => eprintln!("board: event skipped: {why}"),
+        // Asked for once more, as it may have been spoilt on its way; the second time it is passed over, or
+        // the board would be called for it for ever.
+        Err(why) if seen.spoilt != Some(number) => {
+            seen.spoilt = Some(number);
+            return Err(format!("event {number}: {why}"));
+        }
+        Err(why) => eprintln!("board: event {number} skipped: {why}"),
     }
+    seen.last = number;
     Ok(())
 }
--- a/wrenseam/src/shutdown.rs
+++ b/wrenseam/src/shutdown.rs
@@ -1,6 +1,9 @@
-//! The planned end: SIGTERM lets the program go on for a while, then it ends once nothing is open.
+//! Signals. SIGHUP has the configuration read again; SIGTERM lets the program go on for a while, then it ends
+//! once nothing is open.
+use crate::config::Config;
 use crate::front::Doors;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use crate::roster::Board;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::net::Shutdown;
 use std::sync::atomic::Ordering;
@@ -8,9 +11,22 @@
 
 const LOOK: Duration = Duration::from_millis(10);
 
-/// Waits for SIGTERM or SIGINT, then for the end of what is open. Returns when the program may exit.
-pub fn wait(mut signals: Signals, listeners: &[&may::net::TcpListener], doors: &Doors) {
-    signals.forever().next();
+/// Serves SIGHUP until SIGTERM or SIGINT comes, then waits for the end of what is open. Returns when the
+/// program may exit.
+pub fn wait(mut signals: Signals, listeners: &[&may::net::TcpListener], doors: &Doors, board: &Board) {
+    for signal in signals.forever() {
+        if signal != SIGHUP {
+            break;
+        }
+        // Guards against a file that is missing or half written: what held before goes on to hold.
+        match Config::board_now() {
+            Ok(address) => {
+                eprintln!("reload: the board is at {address}");
+                board.moved(address);
+            }
+            Err(why) => eprintln!("reload: nothing changed: {why}"),
+        }
+    }
     let limits = &doors.limits;
     eprintln!("stop: signal; listening for {} ms more", limits.stop_listening.as_millis());
     // The front goes on sending for a while: what comes in that time is owed an answer like any other.
@@ -31,7 +47,7 @@
     eprintln!("stop: done, {} requests open", doors.shared.open.load(Ordering::Acquire));
 }
 
-/// Registers the signals; called before anything else runs, so that none is missed.
+/// Registers the signals; called before anything else runs, so that none is missed or ends the program.
 pub fn signals() -> Result<Signals, String> {
-    Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))
+    Signals::new([SIGHUP, SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))
 }
--- /dev/null
+++ b/wrenseam/tests/board.rs
@@ -0,0 +1,58 @@
+//! The notice board as it fails and moves, and the list that the program makes of it.
+mod common;
+
+use common::{Speech, Stage};
+use rstest::rstest;
+
+#[rstest]
+// Guards against the end of the program at SIGHUP, and against a list that stands still after it.
+#[case::moves(
+    "
+    board expect 1
+    board send 2 w0 draining
+    list expect w0 draining
+    program reload
+    board expect 2
+    board send 3 w1 draining
+    list expect w1 draining
+    program reload
+    board expect 3"
+)]
+#[case::unreadable_configuration(
+    "
+    board expect 1
+    program reload broken
+    board send 2 w0 draining
+    list expect w0 draining
+    program reload
+    board expect 2"
+)]
+#[case::written_twice(
+    "
+    board expect 1
+    board send 2 w0 draining
+    board send 3 w0 ready
+    board send 2 w0 draining
+    board send 4 w1 draining
+    list expect w1 draining
+    list expect w0 ready"
+)]
+// Asked for again once, then passed over.
+#[case::unreadable_event(
+    "
+    board expect 1
+    board send 2 w0 asleep
+    board expect 1
+    board send 2 w0 asleep
+    board send 3 w1 draining
+    list expect w1 draining"
+)]
+// A stop with the connection open.
+#[case::silent(
+    "
+    board expect 1
+    board expect 1"
+)]
+fn the_list_follows_the_board(#[case] scenario: &str) {
+    Stage::new(Speech::Platform).play(Speech::Platform, scenario);
+}
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -8,16 +8,24 @@
 //!     worker expect nothing                  no call comes
 //!     worker send ok BODY | full | miss | error | half     answers the last call; `half` ends midway
 //!     worker close                           ends the last call's connection
+//!     board expect LAST                      the next call at the board named now, telling this last event
+//!     board send ID WORKER STATE             an event on the connection of the last call
+//!     board close                            ends it
+//!     list expect WORKER STATE               the program comes to hold this of a worker
+//!     program reload [broken]                names the other board (a file that cannot be read); SIGHUP
 //!     wait MS
 #![allow(dead_code)]
 use base64::{engine::general_purpose::STANDARD, Engine};
 use bramblepath::json::{list, object, parse, part, text};
+use std::cell::Cell;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::time::Duration;
+
+use std::time::{Duration, Instant};
 
 pub const FUNCTION: &str = "7f3a9c21e0b4d655";
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -47,8 +55,14 @@
     pub kserve: SocketAddr,
     pub admin: SocketAddr,
     calls: Receiver<Call>,
+    boards: [Board; 2],
+    board: Cell<usize>,
+    config: (PathBuf, String),
 }
 
+/// A stand-in notice board: where it listens, and its calls with the last event that each told.
+type Board = (SocketAddr, Receiver<(String, TcpStream)>);
+
 const SETTINGS: &str = r#"{"balancers":1,"classes":[
  {"effect":"retryable","goal-time":400,"key-scope":"all","memory-span":5000,"name":"tile-render","worth":1},
  {"effect":"dedup","goal-time":400,"key-scope":"zone","memory-span":5000,"name":"tile-order","worth":3}],
@@ -88,13 +102,12 @@
             std::fs::write(folder.join(name), text).expect("a file");
             folder.join(name)
         };
-        let config = write(
-            "config.json",
-            format!(
-                r#"{{"name":"t","seed":"2a","limits":{{"memory_mb":192,"sockets":1024}},"settings":{SETTINGS},
-                "known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"reset":true,"instances":[{known}]}}}}]}}}}"#
-            ),
+        let told = format!(
+            r#"{{"name":"t","seed":"2a","limits":{{"memory_mb":192,"sockets":1024}},"settings":{SETTINGS},
+                "board":"BOARD","known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"reset":true,"instances":[{known}]}}}}]}}}}"#
         );
+        let boards = [board(), board()];
+        let config = write("config.json", told.replace("BOARD", &boards[0].0.to_string()));
         write(
             "endpoints.json",
             format!(r#"{{"resources":[{{"cluster_name":"tile-workers","endpoints":[{endpoints}]}}]}}"#),
@@ -104,7 +117,7 @@
             r#"{"listen":"127.0.0.1:0","admin":"127.0.0.1:0","endpoints":"endpoints.json"}"#.to_owned(),
         );
         let mut child = Command::new(env!("CARGO_BIN_EXE_wrenseam"))
-            .env("NODE_CONFIG", config)
+            .env("NODE_CONFIG", &config)
             .env("NODE_LISTEN", "127.0.0.1:0")
             .env("WRENSEAM_KSERVE", kserve)
             .stderr(Stdio::piped())
@@ -122,7 +135,8 @@
         std::thread::spawn(move || {
             lines.map_while(Result::ok).for_each(|line| eprintln!("  program: {line}"))
         });
-        let stage = Stage { child, front, kserve, admin, calls };
+        let (board, config) = (Cell::new(0), (config, told));
+        let stage = Stage { child, front, kserve, admin, calls, boards, board, config };
         while !get(stage.admin, "/healthz").starts_with("HTTP/1.1 200") {
             std::thread::sleep(Duration::from_millis(10));
         }
@@ -131,16 +145,49 @@
 
     /// Sends SIGTERM and waits for the program's end.
     pub fn stop(&mut self) -> bool {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+        self.signal("-TERM");
         self.child.wait().expect("it ends").success()
     }
 
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill runs").success());
+    }
+
+    /// Names the other board in the configuration, or leaves no readable one, and has it read again.
+    fn reload(&self, broken: bool) {
+        let text = if broken {
+            "{".to_owned()
+        } else {
+            self.board.set(1 - self.board.get());
+            self.config.1.replace("BOARD", &self.boards[self.board.get()].0.to_string())
+        };
+        std::fs::write(&self.config.0, text).expect("written");
+        self.signal("-HUP");
+    }
+
+    /// Waits until the administration API shows this state of a worker.
+    fn listed(&self, worker: &str, state: &str, context: &str) {
+        let since = Instant::now();
+        loop {
+            let told = get(self.admin, "/v1/state");
+            let json = parse(told.split_once("\r\n\r\n").expect("a body").1).expect("JSON");
+            let named = |e: &&miniserde::json::Object| text(e, "name") == Some(worker);
+            let shown = list(object(&json).expect("an object"), "endpoints");
+            if shown.iter().filter_map(object).find(named).and_then(|e| text(e, "state")) == Some(state) {
+                return;
+            }
+            assert!(since.elapsed() < PATIENCE, "{context}: {told}");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     /// Runs a scenario through one front; what clients and workers saw, line by line.
     pub fn play(&self, front: Speech, scenario: &str) -> Vec<String> {
         let address = if front == Speech::Platform { self.front } else { self.kserve };
         let mut client = Client { speech: front, stream: connect(address) };
         let (mut last, mut seen): (Option<Call>, Vec<String>) = (None, Vec::new());
+        let mut told: Option<TcpStream> = None;
         for line in scenario.lines().map(str::trim).filter(|l| !l.is_empty()) {
             let words: Vec<&str> = line.split_whitespace().collect();
             let context = format!("{front:?}: {line}");
@@ -170,6 +217,23 @@
                 ["worker", "close"] => {
                     last.as_ref().expect(&context).stream.shutdown(Shutdown::Both).expect("open");
                 }
+                ["board", "expect", last] => {
+                    let calls = &self.boards[self.board.get()].1;
+                    let (got, stream) = calls.recv_timeout(PATIENCE).expect(&context);
+                    assert_eq!(got, last, "{context}");
+                    told = Some(stream);
+                }
+                ["board", "send", id, worker, state] => {
+                    let event = format!(
+                        r#"{{"instanceId":"{worker}","hostPort":"127.0.0.1:9","zone":"hall-a","machineType":"std","cell":0,"lifecycle":"{state}","startedAtMs":0}}"#
+                    );
+                    let event = format!(r#"{{"rev":{id},"pool":{{"reset":false,"instances":[{event}]}}}}"#);
+                    let event = format!("id: {id}\ndata: {event}\n\n");
+                    told.as_ref().expect(&context).write_all(event.as_bytes()).expect("written");
+                }
+                ["board", "close"] => told.as_ref().expect(&context).shutdown(Shutdown::Both).expect("open"),
+                ["list", "expect", worker, state] => self.listed(worker, state, &context),
+                ["program", "reload", ref how @ ..] => self.reload(how == ["broken"]),
                 ["wait", ms] => std::thread::sleep(Duration::from_millis(ms.parse().expect("a number"))),
                 _ => panic!("no such step: {line}"),
             }
@@ -367,6 +431,21 @@
     address
 }
 
+fn board() -> Board {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let (seen, calls) = channel();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let Ok((head, _)) = message(&mut stream) else { continue };
+            let last = head.lines().find_map(|l| l.strip_prefix("Last-Event-ID: ")).expect("told").to_owned();
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+            let _ = seen.send((last, stream));
+        }
+    });
+    (address, calls)
+}
+
 fn frame(code: u8, id: u64, fields: &str, body: &[u8]) -> Vec<u8> {
     let content = [fields.as_bytes(), body].concat();
     let mut out = vec![127, code];
