Calls that no worker can use end after two errors and accuse no worker

Now a function is proven by its first Ok; until then two errors end a call, and errors are no sign against the worker. The test fails without the change (seen).

--- a/src/control.rs
+++ b/src/control.rs
@@ -59,6 +59,7 @@
 const REFUSE: (f64, f64, f64) = (0.6, 0.8, 1.3);
 const HELD_PART: f64 = 0.45; // part of its life that a request waits with no attempt made
 const TURNED_AWAY: usize = 3; // attempts that never ran after which nobody is asked again
+const UNPROVEN_ERRORS: u32 = 2; // errors after which a call of a function never served here ends
 const RETRY_SHARE: f64 = 0.15; // further attempts earned by a request: bounds what they add to overload
 
 impl Copy {
@@ -262,8 +263,9 @@
         let ends = now + left.saturating_sub(END_MARGIN);
         let tenant = tenant.filter(|&t| t < self.tenant_rate.len());
         tenant.into_iter().for_each(|t| self.tenant_rate[t] += 1.0);
-        let (lost, done, attempts) = (false, false, Vec::new());
-        let r = Request { function: f, class, tenant, arrived: now, ends, retry, lost, done, attempts };
+        let (lost, done, errors, attempts) = (false, false, 0, Vec::new());
+        let r =
+            Request { function: f, class, tenant, arrived: now, ends, retry, lost, done, errors, attempts };
         self.requests.insert(id, r);
         let service = self.functions[f].service;
         if left <= END_MARGIN || self.overloaded(class, tenant, left as f64, service) {
@@ -365,6 +367,8 @@
             || r.attempts.iter().filter(|a| !a.open && !a.may_have_run).count() >= TURNED_AWAY
             || r.attempts.len() as u32 >= self.set.max_attempts
             || ran && self.set.classes[class].effect == Effect::Unsafe
+            // Guards workers against calls that none of them can use: each answers them with an error.
+            || r.errors >= UNPROVEN_ERRORS && !self.functions[f].proven
         {
             return self.finish(id, out);
         }
@@ -458,6 +462,7 @@
         a.open = false;
         let never = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
         a.may_have_run = !never;
+        r.errors += u32::from(outcome == Outcome::Error);
         let (w, f, a, pair) = (a.worker, r.function, a.clone(), (r.tenant, r.class));
         self.workers[w].out.remove(&(a.sent, id, attempt));
         let fresh_process = a.sent < self.workers[w].entry.started_at;
@@ -490,6 +495,7 @@
             self.judge(now, f, &a, outcome, elapsed, a.cold || warm == Some(false));
         }
         self.served += f64::from(u8::from(outcome == Outcome::Ok));
+        self.functions[f].proven |= outcome == Outcome::Ok;
         match closed || self.requests[&id].done {
             true => self.close(id, out),
             false => self.place(now, id, out),
@@ -521,6 +527,8 @@
                 }
                 self.work_done += self.class_service[class];
             }
+            // Of a function never served here the error may lie with the call: no worker is accused.
+            Outcome::Error if !self.functions[f].proven => {}
             Outcome::Error | Outcome::Timeout if !a.called_off => sample = Some(BAD),
             Outcome::Reset | Outcome::ConnectFailed => {
                 self.died(w, now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,6 +37,7 @@
     pub(crate) calls: f64,
     pub(crate) last_call: Micros,
     pub(crate) last_lost: Micros,
+    pub(crate) proven: bool,
     pub(crate) at: BTreeMap<usize, Copy>,
     pub(crate) places: Vec<usize>,
     pub(crate) held: VecDeque<RequestId>,
@@ -81,6 +82,7 @@
     pub(crate) retry: bool,
     pub(crate) lost: bool,
     pub(crate) done: bool,
+    pub(crate) errors: u32,
     pub(crate) attempts: Vec<Attempt>,
 }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -64,6 +64,26 @@
     assert!(late <= 5, "{late} of the last 100 calls went to the failing worker");
 }
 
+/// A call that no worker can use ends after two errors, and no worker is accused of it.
+#[test]
+fn errors_of_a_function_never_served_end_its_call_and_accuse_nobody() {
+    let mut rig = Rig::new(Settings { load_on_absence: true, ..settings() }, 4);
+    rig.warm(7, 1, &["w0", "w1", "w2", "w3"]);
+    for id in 2..30 {
+        let mut out = rig.request(id, SAFE, 1_000 + id);
+        for w in loads(&out, 0) {
+            out.extend(rig.loaded(&w, 1_000 + id, 1, Outcome::Ok));
+        }
+        assert_eq!(sends(&out).len(), 1);
+        assert_eq!(sends(&rig.outcome(id, 0, Outcome::Error, MS)).len(), 1);
+        assert!(rig.outcome(id, 1, Outcome::Error, MS).contains(&Action::Fail { id }));
+    }
+    rig.pass(100 * MS);
+    let used: std::collections::BTreeSet<String> =
+        (50..90).flat_map(|id| sends(&rig.request(id, SAFE, 7))).collect();
+    assert_eq!(used.len(), 4, "{used:?}");
+}
+
 #[test]
 fn when_most_workers_look_bad_the_judgement_is_distrusted() {
     let mut rig = Rig::new(settings(), 3);
