Answer faults at once, time-limit and evict client connections, check all figures

At fault: front/fastcgi.rs Reader::stdin and whole answered a fault only when STDIN ended; Reader::run waited for ever (timed_out => continue), as front/kserve.rs did; front/mod.rs accept turned newcomers away while silent connections held all seats; neutral() clamped or passed figures (unwrap_or(0.0)); the core took unknown tenants and ids of open requests; eprintln! at every fault. Now: a fault is answered as it shows, 64 KiB more of it end the connection; a connection that never asked for anything of use closes after 2 s, one with nothing owed after 5 s (usual clients close at 4 s), a request in part after 2 s, all in Limits; a newcomer gets the seat of one with nothing owed; figures are checked in one place for both fronts; unknown tenants and ids of open requests fail; lines are written five times a second with a count; a planned end waits for requests being read. Checked: yielding after accept alone was not enough (a test under load showed all seats taken by connections not yet begun), so the wait goes on while any is new.

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -11,7 +11,7 @@
 use crate::worker::{transport, Reports, Transport};
 use bramblepath::{Action, Controller, Effect, Entry, Event, Micros, Outcome, Settings, WorkerState};
 use miniserde::json::{self, Number, Object, Value};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Arc;
@@ -72,6 +72,8 @@
     last: u64,
     requests: HashMap<u64, Open>,
     by_client: BTreeMap<(u64, u64), u64>,
+    /// The ids that clients gave, of requests that are owed an answer.
+    wire_ids: HashSet<u64>,
     peers: BTreeMap<String, Peer>,
     orders: HashMap<u64, (String, u64, Micros)>,
     timers: Timers,
@@ -97,6 +99,7 @@
             last: 0,
             requests: HashMap::new(),
             by_client: BTreeMap::new(),
+            wire_ids: HashSet::new(),
             peers: BTreeMap::new(),
             orders: HashMap::new(),
             timers: Timers::default(),
@@ -125,7 +128,7 @@
             let late = self.timers.late(now);
             if late > LATE {
                 // Tells a starved machine from a fault of ours: answers owed in that time may have come late.
-                eprintln!("core: ran {} ms late, {} requests open", late / 1000, self.requests.len());
+                note!("core: ran {} ms late, {} requests open", late / 1000, self.requests.len());
             }
             while let Some(due) = self.timers.due(self.clock.now()) {
                 self.due(due);
@@ -163,9 +166,16 @@
         let known = self.settings.classes.get(class);
         // Guards keyed work: without its key no worker could drop a repeat.
         let keyed = known.is_some_and(|c| c.effect == Effect::Keyed);
-        if known.is_none() || keyed && request.token.is_none() {
-            let fault = if known.is_none() { "unknown class" } else { "keyed class without a key" };
-            eprintln!("request {:016x}: failed, {fault}", request.wire_id);
+        let fault = match () {
+            () if known.is_none() => Some("unknown class"),
+            () if tenant.is_none() && !self.settings.tenants.is_empty() => Some("unknown tenant"),
+            () if keyed && request.token.is_none() => Some("keyed class without a key"),
+            // Guards the one that is open: a worker would be asked for two bodies under one id.
+            () if self.wire_ids.contains(&request.wire_id) => Some("a request of this id is open"),
+            () => None,
+        };
+        if let Some(fault) = fault {
+            note!("request {:016x}: failed, {fault}", request.wire_id);
             return client.answer(tag, Answer::Failed);
         }
         self.last += 1;
@@ -184,6 +194,7 @@
             retry: request.retry,
         });
         self.by_client.insert((client.connection(), tag), id);
+        self.wire_ids.insert(request.wire_id);
         self.shared.open.fetch_add(1, Ordering::AcqRel);
         self.count(tenant).asked += 1;
         // The module ends each request in time; this guards the promise should it not.
@@ -217,6 +228,7 @@
         let open = self.requests.get_mut(&id).filter(|o| !o.answered)?;
         open.answered = true;
         let (client, tag, tenant) = (open.client.clone(), open.tag, open.tenant);
+        self.wire_ids.remove(&open.request.wire_id);
         self.by_client.remove(&(client.connection(), tag));
         Some((client, tag, tenant))
     }
@@ -354,7 +366,7 @@
                     peer.transport.unload(function);
                 }
             }
-            Action::Log { text } => eprintln!("module: {text}"),
+            Action::Log { text } => note!("module: {text}"),
             Action::Watch => {} // the board tells by itself
         }
     }
@@ -400,7 +412,7 @@
                 cell: member.cell,
             });
             let ready = member.state == WorkerState::Ready;
-            eprintln!("member {}: {:?} at {}", member.id, member.state, member.address);
+            note!("member {}: {:?} at {}", member.id, member.state, member.address);
             let known = self.peers.get_mut(&member.id);
             // An address may be taken over by a worker that is new: what was open to the old one stays there.
             match known.filter(|p| p.member.address == member.address && p.member.speech == member.speech) {
--- a/wrenseam/src/front/fastcgi.rs
+++ b/wrenseam/src/front/fastcgi.rs
@@ -1,8 +1,8 @@
 //! The platform's front: FastCGI 1.0, Responder role, many requests on one connection.
-use super::{function, millis, token_fits, Doors};
+use super::{function, token_fits, Doors, Figures, Reading};
 use crate::core::{Answer, Client, Message, Payload, Request};
-use crate::limits::Held;
-use crate::net::{connection_number, timed_out, Outbox, Seat};
+use crate::limits::{Held, Limits};
+use crate::net::{timed_out, Occupant, Outbox, Seat};
 use crate::ring::Ring;
 use may::net::TcpStream;
 use may::sync::Mutex;
@@ -26,6 +26,7 @@
 const OVERLOADED: u8 = 2;
 const UNKNOWN_ROLE: u8 = 3;
 const HEADER: usize = 8;
+const FILLS: u32 = 8; // reads after which others have their turn
 
 /// One record as bytes; `content` must be shorter than 64 KiB.
 pub fn record(kind: u8, id: u16, content: &[u8], to: &mut Vec<u8>) {
@@ -93,7 +94,7 @@
 
 /// The client's side of a connection, as the core sees it.
 struct Side {
-    number: u64,
+    occupant: Arc<Occupant>,
     out: Outbox,
     /// Requests that are owed an answer, by FastCGI id: which use of the id, and whether to close behind it.
     live: Mutex<HashMap<u16, (u64, bool)>>,
@@ -107,6 +108,7 @@
         let Some(&(_, close)) = live.get(&id).filter(|l| l.0 == tag >> 16) else { return };
         live.remove(&id);
         drop(live);
+        self.occupant.ended(!matches!(answer, Answer::Failed));
         self.out.send(answer_bytes(id, &answer));
         if close {
             self.out.close();
@@ -114,21 +116,22 @@
     }
 
     fn connection(&self) -> u64 {
-        self.number
+        self.occupant.number
     }
 }
 
 /// A request of which records are still to come.
-#[derive(Default)]
 struct Partial {
+    since: Instant,
+    _reading: Reading,
     keep: bool,
     params: Vec<u8>,
     body: Vec<u8>,
     /// Its share of the bytes held over all requests, taken as they come: requests that are never finished
     /// take memory too.
     held: Option<Held>,
-    /// Why it ends as soon as it has come whole.
-    fault: Option<Fault>,
+    /// It has been answered; the rest of it is passed over.
+    over: bool,
 }
 
 #[derive(Clone, Copy)]
@@ -141,32 +144,28 @@
 
 impl Partial {
     /// Whether bytes may be added to a part that holds `now` and may hold `most`.
-    fn admits(&mut self, bytes: usize, now: usize, most: usize, why: &'static str) -> bool {
-        if self.fault.is_none() && now + bytes > most {
-            self.fault = Some(Fault::Bad(why));
-        } else if self.fault.is_none() && !self.held.as_mut().is_some_and(|h| h.grow(bytes)) {
-            self.fault = Some(Fault::NoRoom);
+    fn admits(&mut self, bytes: usize, now: usize, most: usize, why: &'static str) -> Result<(), Fault> {
+        if now + bytes > most {
+            return Err(Fault::Bad(why));
         }
-        if self.fault.is_some() {
-            (self.params, self.body, self.held) = (Vec::new(), Vec::new(), None);
-        }
-        self.fault.is_none()
+        self.held.as_mut().is_some_and(|h| h.grow(bytes)).then_some(()).ok_or(Fault::NoRoom)
     }
 }
 
 /// Serves one connection until it ends.
-pub fn serve(stream: TcpStream, doors: &Doors, _seat: Seat) {
+pub fn serve(stream: TcpStream, doors: &Doors, seat: Seat) {
     let peer = stream.peer_addr().map_or("?".to_owned(), |p| p.to_string());
     let out = match stream.try_clone().and_then(|s| doors.outbox(s)) {
         Ok(out) => out,
-        Err(e) => return eprintln!("fastcgi {peer}: closed: {e}"),
+        Err(e) => return note!("fastcgi {peer}: closed: {e}"),
     };
-    let side = Arc::new(Side { number: connection_number(), out, live: Mutex::default() });
-    let mut reader = Reader { doors, side: side.clone(), partial: HashMap::new(), uses: 0 };
+    seat.occupant.writes_to(&out);
+    let side = Arc::new(Side { occupant: seat.occupant.clone(), out, live: Mutex::default() });
+    let mut reader = Reader { doors, side: side.clone(), partial: HashMap::new(), uses: 0, over: 0 };
     if let Err(why) = reader.run(stream) {
-        eprintln!("fastcgi {peer}: connection closed: {why}");
+        note!("fastcgi {peer}: connection closed: {why}");
     }
-    let _ = doors.core.send(Message::Hangup(side.number)); // the core only ends with the program
+    let _ = doors.core.send(Message::Hangup(seat.occupant.number)); // the core only ends with the program
     side.out.close();
 }
 
@@ -175,20 +174,28 @@
     side: Arc<Side>,
     partial: HashMap<u16, Partial>,
     uses: u64,
+    /// Bytes passed over of requests that have been answered as unfit.
+    over: usize,
 }
 
 impl Reader<'_> {
     fn run(&mut self, mut stream: TcpStream) -> Result<(), String> {
-        let mut ring = Ring::new(self.doors.limits.client_ring);
+        let limits = self.doors.limits.clone();
+        stream.set_read_timeout(Some(limits.client_check)).map_err(|e| e.to_string())?;
+        let mut ring = Ring::new(limits.client_ring);
         let mut got = Vec::new();
+        let (mut looked, mut record_since, mut fills) = (Instant::now(), Instant::now(), 0u32);
         loop {
             match ring.fill(&mut stream) {
                 Ok(0) => return Ok(()),
                 Ok(_) => {}
-                Err(e) if timed_out(&e) => continue,
+                Err(e) if timed_out(&e) => {}
                 Err(e) => return Err(e.to_string()),
             }
             loop {
+                if got.is_empty() {
+                    record_since = Instant::now();
+                }
                 if got.len() < HEADER {
                     ring.take(HEADER - got.len(), &mut got);
                 }
@@ -204,7 +211,69 @@
                 self.take(kind, u16::from_be_bytes([i0, i1]), &got[HEADER..HEADER + content])?;
                 got.clear();
             }
+            if looked.elapsed() >= limits.client_check {
+                looked = Instant::now();
+                if !got.is_empty()
+                    && record_since.elapsed() > limits.request_read
+                    && self.side.occupant.is_idle()
+                {
+                    return Err("a record never came whole".to_owned());
+                }
+                self.overdue(&limits)?;
+                if self.partial.is_empty() && got.is_empty() && self.side.occupant.outstayed(&limits) {
+                    return Ok(());
+                }
+            }
+            fills += 1;
+            if fills.is_multiple_of(FILLS) {
+                // A client that sends at full speed would else keep the scheduler's one thread.
+                may::coroutine::yield_now();
+            }
+        }
+    }
+
+    /// Ends what has been read in part for too long. Guards against requests that never come whole: each is
+    /// owed a word or a close, and holds memory.
+    fn overdue(&mut self, limits: &Limits) -> Result<(), String> {
+        let late = |p: &&Partial| p.since.elapsed() > limits.request_read;
+        if self.partial.values().any(|p| late(&p)) && self.side.occupant.is_idle() {
+            return Err("a request never came whole".to_owned());
         }
+        let ids: Vec<u16> =
+            self.partial.iter().filter(|(_, p)| late(p) && !p.over).map(|(&id, _)| id).collect();
+        ids.into_iter().for_each(|id| self.fault(id, Fault::Bad("it never came whole")));
+        Ok(())
+    }
+
+    /// Answers a request that is still being read: whoever sends without end would else get no word.
+    fn fault(&mut self, id: u16, fault: Fault) {
+        let Some(partial) = self.partial.get_mut(&id) else { return };
+        (partial.over, partial.params, partial.body, partial.held) = (true, Vec::new(), Vec::new(), None);
+        let keep = partial.keep;
+        self.refuse(id, fault, !keep);
+    }
+
+    fn refuse(&self, id: u16, fault: Fault, close: bool) {
+        match fault {
+            Fault::NoRoom => {
+                self.end_at_once(id, OVERLOADED, "the bytes held over all requests are at their bound");
+            }
+            Fault::Bad(why) => {
+                note!("fastcgi: request {id} failed: {why}");
+                self.side.out.send(response(id, "Status: 400 Bad Request\r\n", &[]));
+            }
+        }
+        self.side.occupant.heard();
+        if close {
+            self.side.out.close();
+        }
+    }
+
+    /// Counts what is passed over; too much of it ends the connection.
+    fn pass_over(&mut self, bytes: usize) -> Result<(), String> {
+        self.over += bytes;
+        let most = self.doors.limits.discard;
+        (self.over <= most).then_some(()).ok_or("a request without end".to_owned())
     }
 
     fn take(&mut self, kind: u8, id: u16, content: &[u8]) -> Result<(), String> {
@@ -217,9 +286,9 @@
             }
             (BEGIN, _) => return self.begin(id, content),
             (ABORT, _) => self.abort(id),
-            (PARAMS, _) => self.params(id, content),
-            (STDIN, _) => self.stdin(id, content),
-            _ => {} // DATA belongs to another role; other kinds mean nothing to a Responder
+            (PARAMS, _) => return self.params(id, content),
+            (STDIN, _) => return self.stdin(id, content),
+            _ => return self.pass_over(content.len()), // DATA belongs to another role; other kinds mean nothing to a Responder
         }
         Ok(())
     }
@@ -246,7 +315,7 @@
     }
 
     fn end_at_once(&self, id: u16, status: u8, why: &str) {
-        eprintln!("fastcgi: request {id} ended at once: {why}");
+        note!("fastcgi: request {id} ended at once: {why}");
         let mut out = Vec::new();
         end(id, status, &mut out);
         self.side.out.send(out);
@@ -266,7 +335,9 @@
             self.end_at_once(id, OVERLOADED, "too many requests on one connection");
         } else {
             let (keep, held) = (flags & KEEP_CONN != 0, self.doors.budget.take(0));
-            self.partial.insert(id, Partial { keep, held, ..Partial::default() });
+            let (since, _reading, over) = (Instant::now(), Reading::start(self.doors), false);
+            let (params, body) = (Vec::new(), Vec::new());
+            self.partial.insert(id, Partial { since, _reading, keep, params, body, held, over });
         }
         Ok(())
     }
@@ -276,30 +347,39 @@
         let Ok(mut live) = self.side.live.lock() else { return };
         if let Some((used, _)) = live.remove(&id) {
             let tag = used << 16 | u64::from(id);
-            let _ = self.doors.core.send(Message::Withdrawn(self.side.number, tag));
+            self.side.occupant.ended(false);
+            let _ = self.doors.core.send(Message::Withdrawn(self.side.occupant.number, tag));
         }
     }
 
-    fn params(&mut self, id: u16, content: &[u8]) {
-        let Some(partial) = self.partial.get_mut(&id) else { return };
-        let (now, most) = (partial.params.len(), self.doors.limits.head);
-        if partial.admits(content.len(), now, most, "parameters are too long") {
-            partial.params.extend(content);
+    fn params(&mut self, id: u16, content: &[u8]) -> Result<(), String> {
+        let most = self.doors.limits.head;
+        let Some(partial) = self.partial.get_mut(&id).filter(|p| !p.over) else {
+            return self.pass_over(content.len());
+        };
+        match partial.admits(content.len(), partial.params.len(), most, "parameters are too long") {
+            Ok(()) => partial.params.extend(content),
+            Err(fault) => self.fault(id, fault),
         }
+        Ok(())
     }
 
-    fn stdin(&mut self, id: u16, content: &[u8]) {
-        let Some(partial) = self.partial.get_mut(&id) else { return };
-        if !content.is_empty() {
-            let (now, most) = (partial.body.len(), self.doors.limits.body);
-            if partial.admits(content.len(), now, most, "the body is too long") {
-                partial.body.extend(content);
+    fn stdin(&mut self, id: u16, content: &[u8]) -> Result<(), String> {
+        let most = self.doors.limits.body;
+        if content.is_empty() {
+            if let Some(partial) = self.partial.remove(&id).filter(|p| !p.over) {
+                self.whole(id, partial);
             }
-            return;
+            return Ok(());
         }
-        if let Some(partial) = self.partial.remove(&id) {
-            self.whole(id, partial);
+        let Some(partial) = self.partial.get_mut(&id).filter(|p| !p.over) else {
+            return self.pass_over(content.len());
+        };
+        match partial.admits(content.len(), partial.body.len(), most, "the body is too long") {
+            Ok(()) => partial.body.extend(content),
+            Err(fault) => self.fault(id, fault),
         }
+        Ok(())
     }
 
     /// A request has come whole.
@@ -309,39 +389,26 @@
         let word = |name: &str| params.get(name).map_or("", String::as_str);
         let path = if word("SCRIPT_NAME").is_empty() { word("REQUEST_URI") } else { word("SCRIPT_NAME") };
         let close = !partial.keep;
-        let at_once = |bytes: Vec<u8>| {
-            self.side.out.send(bytes);
-            if close {
-                self.side.out.close();
-            }
-        };
         if path == "/healthz" {
             let ready = self.doors.shared.ready.load(Ordering::Acquire);
             let status = if ready { "200 OK" } else { "503 Service Unavailable" };
-            return at_once(response(id, &format!("Status: {status}\r\n"), &[]));
-        }
-        let request = match partial.fault {
-            Some(Fault::NoRoom) => {
-                self.end_at_once(id, OVERLOADED, "the bytes held over all requests are at their bound");
-                if close {
-                    self.side.out.close();
-                }
-                return;
-            }
-            Some(Fault::Bad(why)) => Err(why),
-            None => neutral(path, &word, partial.body).map(|r| Request { read_at, held: partial.held, ..r }),
-        };
-        match request {
-            Err(why) => {
-                eprintln!("fastcgi: request {id} failed: {why}");
-                at_once(response(id, "Status: 400 Bad Request\r\n", &[]));
+            self.side.out.send(response(id, &format!("Status: {status}\r\n"), &[]));
+            self.side.occupant.heard();
+            if close {
+                self.side.out.close();
             }
+            return;
+        }
+        let request = neutral(path, &word, partial.body, &self.doors.limits);
+        match request.map(|r| Request { read_at, held: partial.held, ..r }) {
+            Err(why) => self.refuse(id, Fault::Bad(why), close),
             Ok(request) => {
                 self.uses += 1;
                 if let Ok(mut live) = self.side.live.lock() {
                     live.insert(id, (self.uses, close));
                 }
                 let tag = self.uses << 16 | u64::from(id);
+                self.side.occupant.opened();
                 let _ = self.doors.core.send(Message::Request(request, self.side.clone(), tag));
             }
         }
@@ -349,35 +416,39 @@
 }
 
 /// The neutral request behind the parameters.
-fn neutral<'a>(path: &str, word: &impl Fn(&str) -> &'a str, body: Vec<u8>) -> Result<Request, &'static str> {
+fn neutral<'a>(
+    path: &str, word: &impl Fn(&str) -> &'a str, body: Vec<u8>, limits: &Limits,
+) -> Result<Request, &'static str> {
     let class = path.strip_prefix("/v1/").ok_or("the path is not /v1/CLASS")?;
     let id = word("HTTP_REQ_ID");
     let token = word("HTTP_REQ_TOKEN");
     if !token.is_empty() && !token_fits(token) {
         return Err("the key cannot travel");
     }
-    let mut request = Request {
+    let number = |text: &str| text.trim().parse::<f64>().map_err(|_| "a figure is no number");
+    let mut told = Figures { wait_ms: number(word("HTTP_REQ_WAIT_MS"))?, ..Figures::default() };
+    for (name, value) in word("HTTP_X_MORE").split(';').filter_map(|pair| pair.split_once(':')) {
+        match name.trim() {
+            "memory_mb" => told.memory_mb = number(value)?,
+            "lanes" => told.lanes = number(value)?,
+            "load_ms" => told.load_ms = number(value)?,
+            _ => {}
+        }
+    }
+    told.check(limits)?;
+    Ok(Request {
         wire_id: function(id).ok_or("Req-Id is not 16 hex digits")?,
         class: class.to_owned(),
         tenant: word("HTTP_REQ_OWNER").to_owned(),
         function: function(word("HTTP_REQ_KEY")).ok_or("Req-Key is not 16 hex digits")?,
-        wait: millis(word("HTTP_REQ_WAIT_MS")).ok_or("Req-Wait-Ms is no number")?,
+        wait: (told.wait_ms * 1000.0) as u64,
         read_at: Instant::now(),
         token: (!token.is_empty()).then(|| token.to_owned()),
         retry: word("HTTP_REQ_RETRY") == "1",
-        memory_mb: 0.0,
-        lanes: 0,
-        load_time: 0,
+        memory_mb: told.memory_mb,
+        lanes: told.lanes as u32,
+        load_time: (told.load_ms * 1000.0) as u64,
         payload: Payload::Bytes(body),
         held: None,
-    };
-    for (name, value) in word("HTTP_X_MORE").split(';').filter_map(|pair| pair.split_once(':')) {
-        match name.trim() {
-            "memory_mb" => request.memory_mb = value.trim().parse().unwrap_or(0.0),
-            "lanes" => request.lanes = value.trim().parse::<f64>().unwrap_or(0.0).clamp(0.0, 65_536.0) as u32,
-            "load_ms" => request.load_time = millis(value).unwrap_or(0),
-            _ => {}
-        }
-    }
-    Ok(request)
+    })
 }
--- a/wrenseam/src/front/kserve.rs
+++ b/wrenseam/src/front/kserve.rs
@@ -1,11 +1,12 @@
 //! The KServe v2 front: the Open Inference Protocol over HTTP/1.1 REST, on the same core as FastCGI.
-use super::{function, token_fits, Doors};
+use super::{function, token_fits, Doors, Figures, Reading};
 use crate::core::{Answer, Client, Message, Payload, Request};
 use crate::http::{response, Head};
-use crate::net::{connection_number, timed_out, Outbox, Seat};
+use crate::limits::Limits;
+use crate::net::{timed_out, Occupant, Outbox, Seat};
 use crate::ring::Ring;
 use crate::worker::kserve::wrap_answer;
-use bramblepath::json::{flag, number, object, parse, part, span, text};
+use bramblepath::json::{flag, number, object, parse, part, text};
 use may::net::TcpStream;
 use may::sync::Mutex;
 use miniserde::json::{self, Object, Value};
@@ -51,7 +52,7 @@
 }
 
 struct Side {
-    number: u64,
+    occupant: Arc<Occupant>,
     out: Outbox,
     slots: Mutex<VecDeque<Slot>>,
 }
@@ -75,11 +76,12 @@
 
 impl Client for Side {
     fn answer(&self, tag: u64, answer: Answer) {
+        self.occupant.ended(!matches!(answer, Answer::Failed));
         self.fill(tag, |close| answer_bytes(answer, close));
     }
 
     fn connection(&self) -> u64 {
-        self.number
+        self.occupant.number
     }
 }
 
@@ -95,18 +97,19 @@
 
 type Handle = fn(&Reader<'_>, u64, &Head, Vec<u8>) -> Reply;
 
-fn connection(stream: TcpStream, doors: &Doors, _seat: Seat, front: &'static str, handle: Handle) {
+fn connection(stream: TcpStream, doors: &Doors, seat: Seat, front: &'static str, handle: Handle) {
     let peer = stream.peer_addr().map_or("?".to_owned(), |p| p.to_string());
     let out = match stream.try_clone().and_then(|s| doors.outbox(s)) {
         Ok(out) => out,
-        Err(e) => return eprintln!("{front} {peer}: closed: {e}"),
+        Err(e) => return note!("{front} {peer}: closed: {e}"),
     };
-    let side = Arc::new(Side { number: connection_number(), out, slots: Mutex::default() });
+    seat.occupant.writes_to(&out);
+    let side = Arc::new(Side { occupant: seat.occupant.clone(), out, slots: Mutex::default() });
     let reader = Reader { doors, side: side.clone(), handle };
     if let Err(why) = reader.run(stream) {
-        eprintln!("{front} {peer}: connection closed: {why}");
+        note!("{front} {peer}: connection closed: {why}");
     }
-    let _ = doors.core.send(Message::Hangup(side.number)); // the core only ends with the program
+    let _ = doors.core.send(Message::Hangup(seat.occupant.number)); // the core only ends with the program
     side.out.close();
 }
 
@@ -133,18 +136,31 @@
         let limits = &self.doors.limits;
         let (mut ring, mut head, mut tag) = (Ring::new(limits.client_ring), Vec::new(), 0u64);
         let mut body: Option<(Head, Vec<u8>)> = None;
+        let mut part: Option<(Instant, Reading)> = None; // of a request that has not come whole
+        stream.set_read_timeout(Some(limits.client_check)).map_err(|e| e.to_string())?;
         loop {
             match ring.fill(&mut stream) {
                 Ok(0) => return Ok(()),
                 Ok(_) => {}
-                Err(e) if timed_out(&e) => continue,
+                Err(e) if timed_out(&e) => {}
                 Err(e) => return Err(e.to_string()),
             }
+            // Guards as the other front does, against requests that never come whole and connections that
+            // say nothing.
+            if part.as_ref().is_some_and(|p| p.0.elapsed() > limits.request_read) {
+                self.last(tag, "408 Request Timeout", "the request never came whole");
+                return Err("a request never came whole".to_owned());
+            }
+            if part.is_none() && ring.is_empty() && self.side.occupant.outstayed(limits) {
+                return Ok(());
+            }
             while !ring.is_empty() {
+                part.get_or_insert_with(|| (Instant::now(), Reading::start(self.doors)));
                 if body.is_none() {
                     ring.take(1, &mut head);
                     if head == b"\r\n" {
                         head.clear(); // an empty line before a request is passed over
+                        part = None;
                     }
                     if head.len() > limits.head {
                         self.last(tag, "431 Request Header Fields Too Large", "the head is too long");
@@ -178,6 +194,7 @@
                         continue;
                     }
                     tag += 1;
+                    part = None;
                     self.whole(tag, &told, got)?;
                     if told.close {
                         return self.until_end(&mut ring, &mut stream);
@@ -216,6 +233,7 @@
             slots.push_back(Slot { tag, close: head.close, ready: None });
         }
         if let Reply::Now(status, body) = (self.handle)(self, tag, head, body) {
+            self.side.occupant.heard();
             let told = if status.starts_with("503") { "Retry-After: 1\r\n" } else { "" };
             self.side.fill(tag, |close| response(status, told, &body, close));
         }
@@ -275,17 +293,18 @@
     fn infer(&self, tag: u64, name: &str, body: Vec<u8>) -> Reply {
         let read_at = Instant::now();
         let Some(held) = self.doors.budget.take(body.len()) else {
-            eprintln!("kserve: request refused: the bytes held over all requests are at their bound");
+            note!("kserve: request refused: the bytes held over all requests are at their bound");
             return refuse("503 Service Unavailable", "too many bytes are held");
         };
-        match neutral(name, body, self.doors.limits.default_wait) {
+        match neutral(name, body, &self.doors.limits) {
             Ok(request) => {
                 let request = Request { read_at, held: Some(held), ..request };
+                self.side.occupant.opened();
                 let _ = self.doors.core.send(Message::Request(request, self.side.clone(), tag));
                 Reply::Later
             }
             Err(why) => {
-                eprintln!("kserve: request failed: {why}");
+                note!("kserve: request failed: {why}");
                 refuse("400 Bad Request", why)
             }
         }
@@ -317,7 +336,7 @@
 }
 
 /// The neutral request behind a v2 body, which itself stays as it is.
-fn neutral(name: &str, body: Vec<u8>, default_wait: u64) -> Result<Request, &'static str> {
+fn neutral(name: &str, body: Vec<u8>, limits: &Limits) -> Result<Request, &'static str> {
     let whole = std::str::from_utf8(&body).ok().and_then(|t| parse(t).ok());
     let fields = whole.as_ref().and_then(object).ok_or("the body is no JSON object")?;
     let empty = Object::new();
@@ -326,19 +345,29 @@
     if token.is_some_and(|t| !token_fits(t)) {
         return Err("the key cannot travel");
     }
-    let wait = if number(told, "wait_ms").is_some() { span(told, "wait_ms") } else { default_wait };
+    let figure = |name: &str, other: f64| match told.get(name) {
+        Some(_) => number(told, name).ok_or("a figure is no number"),
+        None => Ok(other),
+    };
+    let figures = Figures {
+        wait_ms: figure("wait_ms", limits.default_wait as f64 / 1000.0)?,
+        memory_mb: figure("memory_mb", 0.0)?,
+        lanes: figure("lanes", 0.0)?,
+        load_ms: figure("load_ms", 0.0)?,
+    };
+    figures.check(limits)?;
     Ok(Request {
         wire_id: wire_id(text(fields, "id")),
         class: text(told, "class").ok_or("no 'class' among the parameters")?.to_owned(),
         tenant: text(told, "tenant").unwrap_or_default().to_owned(),
         function: function(name).ok_or("unknown model")?,
-        wait,
+        wait: (figures.wait_ms * 1000.0) as u64,
         read_at: Instant::now(),
         token: token.map(str::to_owned),
         retry: flag(told, "retry"),
-        memory_mb: number(told, "memory_mb").unwrap_or(0.0),
-        lanes: bramblepath::json::count(told, "lanes"),
-        load_time: span(told, "load_ms"),
+        memory_mb: figures.memory_mb,
+        lanes: figures.lanes as u32,
+        load_time: (figures.load_ms * 1000.0) as u64,
         payload: Payload::Json(body),
         held: None,
     })
--- a/wrenseam/src/front/mod.rs
+++ b/wrenseam/src/front/mod.rs
@@ -6,11 +6,13 @@
 use crate::limits::{Budget, Limits};
 use crate::net::{spawn, Outbox, Seat, Seats};
 use may::net::{TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::Arc;
 use std::time::Duration;
 
+const SEAT_TRIES: usize = 20;
+
 /// What every front needs.
 #[derive(Clone)]
 pub struct Doors {
@@ -24,6 +26,8 @@
     pub seats: Seats,
     /// Bytes of answers not yet written.
     pub unsent: Arc<AtomicUsize>,
+    /// Requests of which a part has been read.
+    pub reading: Arc<AtomicUsize>,
     /// What the core shows.
     pub shared: Arc<Shared>,
     /// Set once the listeners are to close.
@@ -45,25 +49,84 @@
         match listener.accept() {
             Ok((stream, peer)) => {
                 // Guards the descriptors that workers and the board need.
-                let Some(seat) = doors.seats.take() else {
-                    eprintln!("{front}: connection of {peer} closed, all client connections are taken");
+                let Some(seat) = seat(doors) else {
+                    note!("{front}: connection of {peer} closed, all client connections are taken");
                     continue;
                 };
                 let inside = doors.clone();
                 let _ = stream.set_nodelay(true); // a connection without it is only slower
                 if let Err(e) = spawn(doors.limits.stack, move || serve(stream, &inside, seat)) {
-                    eprintln!("{front}: connection of {peer} closed: {e}");
+                    note!("{front}: connection of {peer} closed: {e}");
                 }
+                // Lets the connection be read before the next is taken: many that come at once would else
+                // all stand here as if they had nothing to say.
+                may::coroutine::yield_now();
             }
-            Err(_) if doors.closing.load(std::sync::atomic::Ordering::Acquire) => return,
+            Err(_) if doors.closing.load(Ordering::Acquire) => return,
             Err(e) => {
-                eprintln!("{front}: accept: {e}");
+                note!("{front}: accept: {e}");
                 may::coroutine::sleep(Duration::from_millis(10));
             }
         }
     }
 }
 
+/// A seat, if need be one that others give up.
+fn seat(doors: &Doors) -> Option<Seat> {
+    let mut seat = doors.seats.take();
+    for _ in 0..SEAT_TRIES {
+        if seat.is_some() || !doors.seats.clear() {
+            break;
+        }
+        may::coroutine::sleep(Duration::from_millis(1)); // those that were told to close do so meanwhile
+        seat = doors.seats.take();
+    }
+    seat
+}
+
+/// Counts a request while it is being read, so that a planned end waits for it.
+pub struct Reading(Arc<AtomicUsize>);
+
+impl Reading {
+    /// One more.
+    pub fn start(doors: &Doors) -> Self {
+        doors.reading.fetch_add(1, Ordering::AcqRel);
+        Reading(doors.reading.clone())
+    }
+}
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// A request's figures as a client told them; 0 where it did not.
+#[derive(Default)]
+pub struct Figures {
+    /// Its wait, in ms.
+    pub wait_ms: f64,
+    /// Memory of a copy, in MB.
+    pub memory_mb: f64,
+    /// Calls that a copy runs at a time.
+    pub lanes: f64,
+    /// Usual time of a load, in ms.
+    pub load_ms: f64,
+}
+
+impl Figures {
+    /// Whether they can be used. Guards clock and module against what is not a number, negative or huge.
+    pub fn check(&self, limits: &Limits) -> Result<(), &'static str> {
+        let longest = limits.longest_wait as f64 / 1000.0;
+        let fits = |value: f64, most: f64| (0.0..=most).contains(&value);
+        if !fits(self.wait_ms, longest) {
+            return Err("the wait is out of range");
+        }
+        let fit = fits(self.memory_mb, limits.memory_mb) && fits(self.load_ms, longest);
+        (fit && fits(self.lanes, limits.lanes)).then_some(()).ok_or("a figure is out of range")
+    }
+}
+
 /// Whether an idempotency key can travel on every wire: no separator, no blank.
 pub fn token_fits(token: &str) -> bool {
     !token.is_empty()
@@ -77,9 +140,3 @@
         .then(|| u64::from_str_radix(name, 16).ok())
         .flatten()
 }
-
-/// Milliseconds as a client writes them, in microseconds.
-pub fn millis(text: &str) -> Option<u64> {
-    let ms: f64 = text.trim().parse().ok()?;
-    (ms.is_finite() && ms >= 0.0).then_some((ms * 1000.0) as u64)
-}
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -3,6 +3,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+#[macro_use]
+pub mod log;
 pub mod config;
 pub mod core;
 pub mod front;
@@ -38,6 +40,7 @@
         seats: net::Seats::new(limits.client_connections),
         unsent: Arc::default(),
         shared: shared.clone(),
+        reading: Arc::default(),
         closing: Arc::new(AtomicBool::new(false)),
     };
     let reports = worker::Reports(queue.clone());
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -25,6 +25,22 @@
     pub client_ring: usize,
     /// Size of a worker connection's rings.
     pub worker_ring: usize,
+    /// A client connection that has asked for nothing of use closes after this.
+    pub first_request: Duration,
+    /// A request must have come whole within this from its first byte.
+    pub request_read: Duration,
+    /// A client connection on which nothing is owed closes after this; usual clients close at 4 s.
+    pub client_idle: Duration,
+    /// How often a client connection looks at these times.
+    pub client_check: Duration,
+    /// Bytes read of what has been answered as unfit before its connection closes.
+    pub discard: usize,
+    /// Longest wait that a client may name.
+    pub longest_wait: Micros,
+    /// Most MB that a copy may be said to take.
+    pub memory_mb: f64,
+    /// Most lanes that a copy may be said to have.
+    pub lanes: f64,
     /// Stack of a coroutine, in bytes.
     pub stack: usize,
     /// Part of a client's wait kept for the way of its answer: the module never hears of it.
@@ -79,6 +95,14 @@
             unsent_per_connection: 1024 * 1024,
             client_ring: 8 * 1024,
             worker_ring: 64 * 1024,
+            first_request: Duration::from_millis(2_000), // whoever says nothing is owed a close within 3 s
+            request_read: Duration::from_millis(2_000),
+            client_idle: Duration::from_millis(5_000),
+            client_check: Duration::from_millis(250),
+            discard: 64 * 1024,
+            longest_wait: 600_000_000,
+            memory_mb: 1e6,
+            lanes: 1024.0,
             stack: 64 * 1024,
             streams: if settings.streams_per_connection > 0 {
                 settings.streams_per_connection as usize
--- a/wrenseam/src/net.rs
+++ b/wrenseam/src/net.rs
@@ -3,10 +3,13 @@
 use crate::ring::Ring;
 use may::net::TcpStream;
 use may::sync::mpsc::{channel, Receiver, Sender};
+use may::sync::Mutex;
+use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, Write};
 use std::net::Shutdown;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Instant;
 
 static CONNECTIONS: AtomicU64 = AtomicU64::new(1);
 
@@ -61,10 +64,7 @@
         let len = bytes.len();
         let held = self.budget.take(len);
         if held.is_none() || self.waiting.load(Ordering::Relaxed) + len > self.most {
-            eprintln!(
-                "client: closed, {} bytes of answers wait unread",
-                self.waiting.load(Ordering::Relaxed)
-            );
+            note!("client: closed, {} bytes of answers wait unread", self.waiting.load(Ordering::Relaxed));
             return self.close();
         }
         self.waiting.fetch_add(len, Ordering::Relaxed);
@@ -96,7 +96,7 @@
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 ended => {
                     let why = ended.err().map_or("closed".to_owned(), |e| e.to_string());
-                    eprintln!("client: connection given up while writing an answer: {why}");
+                    note!("client: connection given up while writing an answer: {why}");
                     broken = true;
                     let _ = stream.shutdown(Shutdown::Both);
                 }
@@ -114,13 +114,76 @@
     }
 }
 
-/// Counts client connections over all fronts against their limit.
+/// The client connections over all fronts, against their limit.
 #[derive(Clone)]
 pub struct Seats {
-    taken: Arc<AtomicUsize>,
+    taken: Arc<Mutex<BTreeMap<u64, Arc<Occupant>>>>,
     most: usize,
 }
 
+/// What a client connection is at.
+#[derive(Clone, Copy)]
+struct Use {
+    /// Requests that are owed an answer.
+    open: usize,
+    /// When the last of them ended; else when it connected.
+    since: Instant,
+    /// Whether a request of it has been served or refused: others may never say anything of use.
+    proven: bool,
+}
+
+/// One client connection, as the seats know it.
+pub struct Occupant {
+    /// The connection's number, unique in the program.
+    pub number: u64,
+    state: Mutex<(Use, Option<Outbox>)>,
+}
+
+impl Occupant {
+    fn change(&self, change: impl FnOnce(&mut Use)) {
+        if let Ok(mut state) = self.state.lock() {
+            change(&mut state.0);
+        }
+    }
+
+    /// Names the sending side, by which the connection can be closed.
+    pub fn writes_to(&self, out: &Outbox) {
+        if let Ok(mut state) = self.state.lock() {
+            state.1 = Some(out.clone());
+        }
+    }
+
+    /// A request has gone to the core.
+    pub fn opened(&self) {
+        self.change(|u| u.open += 1);
+    }
+
+    /// A request is owed nothing any more; `proven` if it was one that workers could take.
+    pub fn ended(&self, proven: bool) {
+        self.change(|u| {
+            *u = Use { open: u.open.saturating_sub(1), since: Instant::now(), proven: u.proven || proven };
+        });
+    }
+
+    /// Something was answered at once.
+    pub fn heard(&self) {
+        self.change(|u| u.since = Instant::now());
+    }
+
+    /// Whether nothing is owed here.
+    pub fn is_idle(&self) -> bool {
+        self.state.lock().is_ok_and(|s| s.0.open == 0)
+    }
+
+    /// Whether nothing has been owed here for so long that the connection should end. Guards descriptors and
+    /// memory against connections that say nothing, or ask once and stay. Usual clients close sooner.
+    pub fn outstayed(&self, limits: &Limits) -> bool {
+        let Ok(state) = self.state.lock() else { return true };
+        let Use { open, since, proven } = state.0;
+        open == 0 && since.elapsed() > if proven { limits.client_idle } else { limits.first_request }
+    }
+}
+
 impl Seats {
     /// So many connections.
     pub fn new(most: usize) -> Self {
@@ -129,17 +192,49 @@
 
     /// A seat, or nothing if all are taken.
     pub fn take(&self) -> Option<Seat> {
-        let before = self.taken.fetch_add(1, Ordering::AcqRel);
-        let seat = Seat(self.taken.clone());
-        (before < self.most).then_some(seat)
+        let mut taken = self.taken.lock().ok()?;
+        if taken.len() >= self.most {
+            return None;
+        }
+        let state = Mutex::new((Use { open: 0, since: Instant::now(), proven: false }, None));
+        let occupant = Arc::new(Occupant { number: connection_number(), state });
+        taken.insert(occupant.number, occupant.clone());
+        Some(Seat { seats: self.clone(), occupant })
+    }
+
+    /// Closes a part of the connections on which nothing is owed: first those that never asked for anything of
+    /// use, then those idle longest. Guards usual clients against hundreds that connect and say nothing.
+    /// Whether any is or may soon be free.
+    pub fn clear(&self) -> bool {
+        let Ok(taken) = self.taken.lock() else { return false };
+        // Those that have only just been accepted are not known to have anything to say yet.
+        let new = |o: &Arc<Occupant>| o.state.lock().is_ok_and(|s| s.1.is_none());
+        let new = taken.values().any(new);
+        let idle = |o: &Arc<Occupant>| {
+            let state = o.state.lock().ok()?;
+            let out = state.1.clone().filter(|_| state.0.open == 0)?;
+            Some(((state.0.proven, state.0.since), out))
+        };
+        let mut idle: Vec<_> = taken.values().filter_map(idle).collect();
+        drop(taken);
+        idle.sort_by_key(|i| i.0);
+        idle.truncate(self.most.div_ceil(16));
+        idle.iter().for_each(|(_, out)| out.close());
+        new || !idle.is_empty()
     }
 }
 
 /// One client connection's place; given back when dropped.
-pub struct Seat(Arc<AtomicUsize>);
+pub struct Seat {
+    seats: Seats,
+    /// Who has it.
+    pub occupant: Arc<Occupant>,
+}
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
+        if let Ok(mut taken) = self.seats.taken.lock() {
+            taken.remove(&self.occupant.number);
+        }
     }
 }
--- a/wrenseam/src/roster.rs
+++ b/wrenseam/src/roster.rs
@@ -157,7 +157,7 @@
         let (at, before) = (board.address(), seen.last);
         if let Some(address) = at {
             if let Err(why) = poll(board, address, &mut seen, limits, core) {
-                eprintln!("board: connection to {address} ended after event {}: {why}", seen.last);
+                note!("board: connection to {address} ended after event {}: {why}", seen.last);
             }
         }
         // Called again at once, unless the call brought nothing: a board that is down is not hammered.
@@ -249,7 +249,7 @@
             seen.spoilt = Some(number);
             return Err(format!("event {number}: {why}"));
         }
-        Err(why) => eprintln!("board: event {number} skipped: {why}"),
+        Err(why) => note!("board: event {number} skipped: {why}"),
     }
     seen.last = number;
     Ok(())
--- a/wrenseam/src/shutdown.rs
+++ b/wrenseam/src/shutdown.rs
@@ -41,6 +41,8 @@
     // Twice quiet, so that an answer on its way from core to writer is counted by one of them.
     while quiet < 2 && since.elapsed() < limits.stop_at_last {
         let open = doors.shared.open.load(Ordering::Acquire) + doors.unsent.load(Ordering::Acquire);
+        // What has come in part by now comes whole soon, or its connection closes: see `Limits::request_read`.
+        let open = open + doors.reading.load(Ordering::Acquire);
         quiet = if open == 0 { quiet + 1 } else { 0 };
         std::thread::sleep(LOOK);
     }
--- a/wrenseam/src/worker/frames.rs
+++ b/wrenseam/src/worker/frames.rs
@@ -180,7 +180,7 @@
             let (reports, of) = (self.reports.clone(), state.clone());
             let started = spawn(self.limits.stack, move || Writer::run(address, queue, of, limits, reports));
             if let Err(e) = started {
-                eprintln!("worker {address}: no coroutine: {e}"); // the commands' timers end them
+                note!("worker {address}: no coroutine: {e}"); // the commands' timers end them
             }
             self.links.push(Link { commands, state, used: Instant::now() });
             self.links.len() - 1
@@ -291,7 +291,7 @@
         let (waiting, begun, queued) = (VecDeque::new(), VecDeque::new(), 0);
         let mut writer = Writer { state, reports, limits, waiting, begun, ring, queued };
         if let Err(why) = writer.connection(address, &queue) {
-            eprintln!("worker {address}: connection ended: {why}");
+            note!("worker {address}: connection ended: {why}");
         }
         break_up(&writer.state, &writer.reports);
         // What is or comes still in the queue was never written. The core lets go of the queue at its sweep.
@@ -319,7 +319,7 @@
         let size = self.limits.worker_ring;
         spawn(self.limits.stack, move || {
             if let Err(why) = read_answers(reader, &state, &reports, most, size) {
-                eprintln!("worker {address}: connection closed: {why}");
+                note!("worker {address}: connection closed: {why}");
             }
             break_up(&state, &reports);
         })
--- a/wrenseam/src/worker/kserve.rs
+++ b/wrenseam/src/worker/kserve.rs
@@ -140,7 +140,7 @@
             let lane = move || Lane { address, limits, reports, state, stream: None }.run(&queue);
             if let Err(e) = spawn(self.limits.stack, lane) {
                 self.state.lanes.fetch_sub(1, Ordering::AcqRel);
-                eprintln!("worker {}: no coroutine: {e}", self.address);
+                note!("worker {}: no coroutine: {e}", self.address);
             }
         }
     }
@@ -266,7 +266,7 @@
         let mut stream = match self.stream.take() {
             Some((stream, used)) if used.elapsed() < self.limits.worker_idle && still_open(&stream) => stream,
             _ => self.connect().map_err(|why| {
-                eprintln!("worker {}: no connection: {why}", self.address);
+                note!("worker {}: no connection: {why}", self.address);
                 Outcome::ConnectFailed
             })?,
         };
@@ -277,7 +277,7 @@
         self.write(&mut stream, job)?;
         let (reply, reusable) = self.read(&mut stream, job).map_err(|why| {
             if !job.cancelled.load(Ordering::Acquire) {
-                eprintln!("worker {}: answer lost: {why}", self.address);
+                note!("worker {}: answer lost: {why}", self.address);
             }
             // Wholly written and no whole answer: it may have run.
             Outcome::Reset
--- a/wrenseam/tests/codecs.rs
+++ b/wrenseam/tests/codecs.rs
@@ -52,6 +52,15 @@
     assert_eq!(found, [pair("7", "{\"a\":\n1}"), pair("8", "x")]);
 }
 
+/// What others can cause at full speed is written a few times a second, then counted.
+#[test]
+fn repeated_lines_are_counted() {
+    let line = wrenseam::log::Line::new();
+    let written = (0..1_000).filter_map(|_| line.admit(7, format_args!("x"))).count();
+    assert_eq!(written, 5);
+    assert_eq!(line.admit(8, format_args!("x")), Some("x (995 more such lines were left out)".to_owned()));
+}
+
 #[test]
 fn chunks_are_undone() {
     let mut chunked = Chunked::default();
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -3,6 +3,9 @@
 //!
 //!     client send CLASS KEY BODY WAIT_MS     a request; key `-` is none
 //!     client expect served BODY | refused | failed | nothing
+//!     client send part | endless             a request that stops midway; one whose body does not end
+//!     client open N                          so many more connections that say nothing
+//!     client expect closed                   the connection ends
 //!     client close
 //!     worker expect CLASS KEY BODY [same]    the next call at any worker; `same`: in the hall of the last
 //!     worker expect nothing                  no call comes
@@ -103,7 +106,7 @@
             folder.join(name)
         };
         let told = format!(
-            r#"{{"name":"t","seed":"2a","limits":{{"memory_mb":192,"sockets":1024}},"settings":{SETTINGS},
+            r#"{{"name":"t","seed":"2a","limits":{{"memory_mb":192,"sockets":256}},"settings":{SETTINGS},
                 "board":"BOARD","known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"reset":true,"instances":[{known}]}}}}]}}}}"#
         );
         let boards = [board(), board()];
@@ -187,12 +190,20 @@
         let address = if front == Speech::Platform { self.front } else { self.kserve };
         let mut client = Client { speech: front, stream: connect(address) };
         let (mut last, mut seen): (Option<Call>, Vec<String>) = (None, Vec::new());
-        let mut told: Option<TcpStream> = None;
+        let (mut told, mut silent): (Option<TcpStream>, Vec<TcpStream>) = (None, Vec::new());
         for line in scenario.lines().map(str::trim).filter(|l| !l.is_empty()) {
             let words: Vec<&str> = line.split_whitespace().collect();
             let context = format!("{front:?}: {line}");
             match words[..] {
                 ["client", "send", class, key, body, wait] => client.send(class, key, body, wait),
+                ["client", "send", "part"] => client.part(),
+                ["client", "send", "endless"] => client.endless(),
+                ["client", "open", n] => {
+                    let n: usize = n.parse().expect("a number");
+                    silent.extend((0..n).map(|_| connect(address)));
+                    client = Client { speech: front, stream: connect(address) };
+                }
+                ["client", "expect", "closed"] => client.closed(&context),
                 ["client", "close"] => client.stream.shutdown(Shutdown::Both).expect("open"),
                 ["client", "expect", "nothing"] => client.nothing(&context),
                 ["client", "expect", ref wanted @ ..] => {
@@ -382,6 +393,34 @@
         self.stream.write_all(&bytes).expect("written");
     }
 
+    /// The first half of a request.
+    fn part(&mut self) {
+        let bytes = match self.speech {
+            Speech::Platform => fastcgi(1, &[("SCRIPT_NAME", "/v1/tile-render")], b"half"),
+            Speech::Kserve => b"POST /v2/models/7f3a9c21e0b4d655/infer HTTP/1.1\r\nHost: t\r\n".to_vec(),
+        };
+        self.stream.write_all(&bytes[..bytes.len() - 8]).expect("written");
+    }
+
+    /// Sends a body until the connection takes no more of it, at most 60 MB.
+    fn endless(&mut self) {
+        let mut to = self.stream.try_clone().expect("cloned");
+        let bytes = match self.speech {
+            Speech::Platform => record(5, 1, &[7; 8_000]),
+            Speech::Kserve => b"X-Endless: 1\r\n".repeat(500),
+        };
+        self.part();
+        std::thread::spawn(move || (0..7_500).all(|_| to.write_all(&bytes).is_ok()));
+    }
+
+    fn closed(&mut self, context: &str) {
+        let mut rest = Vec::new();
+        match self.stream.read_to_end(&mut rest) {
+            Ok(_) => {}
+            Err(e) => assert_eq!(e.kind(), std::io::ErrorKind::ConnectionReset, "{context}: still open"),
+        }
+    }
+
     /// The next final answer, in the scenario's words.
     fn answer(&mut self, context: &str) -> String {
         let (head, body, refused) = match self.speech {
--- a/wrenseam/tests/program.rs
+++ b/wrenseam/tests/program.rs
@@ -5,19 +5,38 @@
 use rstest::rstest;
 use std::io::{Read, Write};
 
-fn params(body: &'static str) -> Vec<(&'static str, &'static str)> {
+type Params = Vec<(&'static str, &'static str)>;
+
+fn params(wait: &'static str) -> Params {
     vec![
         ("SCRIPT_NAME", "/v1/tile-render"),
         ("HTTP_REQ_ID", "00000000000000aa"),
-        ("HTTP_REQ_WAIT_MS", body),
+        ("HTTP_REQ_OWNER", "acme"),
+        ("HTTP_REQ_WAIT_MS", wait),
         ("HTTP_REQ_KEY", FUNCTION),
     ]
 }
 
+fn with(name: &'static str, value: &'static str) -> Vec<u8> {
+    let mut params: Params = params("900").into_iter().filter(|p| p.0 != name).collect();
+    params.push((name, value));
+    fastcgi(1, &params, b"")
+}
+
 /// What cannot be served ends in an answer of its own, and the connection goes on.
 #[rstest]
 #[case::body_too_long(fastcgi(1, &params("900"), &[7; 17_000]), "Status: 400", 0)]
 #[case::no_wait(fastcgi(1, &params("soon"), b""), "Status: 400", 0)]
+// Figures that are none or out of range must not reach clock or module.
+#[case::endless_wait(fastcgi(1, &params("inf"), b""), "Status: 400", 0)]
+#[case::huge_wait(fastcgi(1, &params("1e300"), b""), "Status: 400", 0)]
+#[case::negative_wait(fastcgi(1, &params("-5"), b""), "Status: 400", 0)]
+#[case::memory_is_no_number(with("HTTP_X_MORE", "memory_mb:NaN;lanes:2"), "Status: 400", 0)]
+#[case::negative_memory(with("HTTP_X_MORE", "memory_mb:-1"), "Status: 400", 0)]
+#[case::huge_lanes(with("HTTP_X_MORE", "lanes:1e9"), "Status: 400", 0)]
+#[case::a_load_of_text(with("HTTP_X_MORE", "load_ms:soon"), "Status: 400", 0)]
+#[case::unknown_tenant(with("HTTP_REQ_OWNER", "nobody"), "Status: 500", 0)]
+#[case::unknown_class(with("SCRIPT_NAME", "/v1/other"), "Status: 500", 0)]
 #[case::no_parameters(fastcgi(1, &[], b""), "Status: 400", 0)]
 #[case::unknown_role(record(1, 1, &[0, 2, 1, 0, 0, 0, 0, 0]), "", 3)]
 #[case::health(fastcgi(1, &[("SCRIPT_NAME", "/healthz")], b""), "Status: 200", 0)]
@@ -68,6 +87,35 @@
     stage.play(Speech::Kserve, SERVED);
 }
 
+/// Whoever does not come to the point is owed a word or a close, and must not keep others out.
+#[rstest]
+#[case::says_nothing("client expect closed")]
+#[case::stops_midway("client send part\nclient expect closed")]
+#[case::never_ends("client send endless\nclient expect failed\nclient expect closed")]
+#[case::asks_once_and_stays(&format!("{SERVED}\nclient expect closed"))]
+#[case::says_nothing_by_the_hundred(&format!("client open 130\n{SERVED}"))]
+fn connections_do_not_outstay(
+    #[values(Speech::Platform, Speech::Kserve)] front: Speech, #[case] scenario: &str,
+) {
+    Stage::new(Speech::Platform).play(front, scenario);
+}
+
+/// A second request under the id of an open one is failed, and the open one is served.
+#[test]
+fn an_open_request_keeps_its_id() {
+    let stage = Stage::new(Speech::Platform);
+    stage.play(Speech::Platform, SERVED);
+    let mut stream = connect(stage.front);
+    for (id, body) in [(1, b"first"), (2, b"other")] {
+        stream.write_all(&fastcgi(id, &params("5000"), body)).expect("written");
+    }
+    let (head, _, _) = fastcgi_answer(&mut stream).expect("an answer");
+    assert!(head.starts_with("Status: 500"), "{head}");
+    stage.play(Speech::Platform, "worker expect tile-render - first\nworker send ok DONE");
+    let (head, body, _) = fastcgi_answer(&mut stream).expect("an answer");
+    assert!(head.starts_with("Status: 200") && body == b"DONE", "{head}");
+}
+
 const SERVED: &str = "
     client send tile-render - x 3000
     worker expect tile-render - x
