End stalled and mute worker connections; forget workers, orders and places that are gone

Ruled out: client connections, which close within 5 s now. core.peers and Controller.workers kept every worker there ever was. Now: a lapsed order leaves its link; the core lets go of gone workers without links; the module gives their places to new ones; a frame or v2 answer of which nothing comes for 0.2 s ends its connection; a link where an attempt is given up after 0.25 s with nothing heard since it was sent gets no new call and closes once quiet.

--- a/src/state.rs
+++ b/src/state.rs
@@ -240,20 +240,45 @@
         Action::Load { worker: self.workers[w].entry.worker.clone(), function: self.functions[f].id, count }
     }
 
+    /// A place for a new worker: that of one that is gone, once nothing refers to it, so that nothing grows
+    /// with the workers there ever were.
+    fn seat(&mut self, e: Entry, now: Micros) -> usize {
+        let named = |w: usize| self.requests.values().any(|r| r.attempts.iter().any(|a| a.worker == w));
+        let left = |&w: &usize| {
+            let (worker, functions) = (&self.workers[w], &self.functions);
+            let used = |f: &usize| functions[*f].at.get(&w).is_some_and(Copy::in_use);
+            let quiet = worker.out.is_empty() && !worker.holds.iter().any(used);
+            worker.entry.state == WorkerState::Gone && quiet && !named(w)
+        };
+        let w = (0..self.workers.len()).find(left).unwrap_or(self.workers.len());
+        let id = e.worker.clone();
+        if w < self.workers.len() {
+            self.void(w);
+            self.worker_ids.remove(&self.workers[w].entry.worker);
+            self.workers[w] = Worker::new(e, now);
+            self.functions.iter_mut().for_each(|f| f.places.clear()); // the order of the places is another
+        } else {
+            self.workers.push(Worker::new(e, now));
+        }
+        self.worker_ids.insert(id, w);
+        w
+    }
+
     /// Takes over news of the list. Returns the workers whose process is new, and those that hold nothing now.
     pub(crate) fn listed(
         &mut self, now: Micros, full: bool, entries: Vec<Entry>,
     ) -> (Vec<usize>, Vec<usize>) {
         let (mut seen, mut started, mut emptied) = (BTreeSet::new(), Vec::new(), Vec::new());
         for e in entries {
-            let next = self.workers.len();
-            let w = *self.worker_ids.entry(e.worker.clone()).or_insert(next);
-            seen.insert(w);
-            if w == next {
-                self.workers.push(Worker::new(e, now));
-                started.push(w);
+            let Some(&w) = self.worker_ids.get(&e.worker) else {
+                if e.state != WorkerState::Gone {
+                    let w = self.seat(e, now);
+                    seen.insert(w);
+                    started.push(w);
+                }
                 continue;
-            }
+            };
+            seen.insert(w);
             let known = &mut self.workers[w].entry;
             let restarted = e.started_at != known.started_at && e.started_at != 0;
             let started_at = if restarted { e.started_at } else { known.started_at };
--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -304,13 +304,23 @@
                     self.ended(key, Report::bare(Outcome::Timeout));
                 }
             }
-            Due::Order(order) => self.ordered(order, Outcome::Timeout, 0),
+            Due::Order(order) => {
+                // Guards connections: one that waits for the answer to a lost order would never be idle.
+                let worker = self.orders.get(&order).map(|o| &o.0);
+                if let Some(peer) = worker.and_then(|w| self.peers.get_mut(w)) {
+                    peer.transport.lapse(order);
+                }
+                self.ordered(order, Outcome::Timeout, 0);
+            }
             Due::Request(id) => {
                 self.answer(id, Answer::Failed);
                 self.forget(id);
             }
             Due::Sweep => {
                 self.peers.values_mut().for_each(|p| p.transport.sweep());
+                // Guards memory: workers are replaced by new ones all day long.
+                let here = |p: &Peer| p.member.state != WorkerState::Gone || !p.transport.is_idle();
+                self.peers.retain(|_, p| here(p));
                 self.timers.set(self.clock.now() + SWEEP, Due::Sweep);
             }
         }
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -57,6 +57,10 @@
     pub worker_idle: Duration,
     /// A write that moves nothing for this long gives its connection up.
     pub write_stall: Duration,
+    /// An answer of which nothing more comes for this long has stopped short.
+    pub frame_stall: Duration,
+    /// An attempt given up after this, with no answer to anything since it was sent, shows a mute connection.
+    pub worker_mute: Duration,
     /// How often a stalled write looks for cancels and drains.
     pub write_check: Duration,
     /// An order unanswered for this long has timed out.
@@ -115,6 +119,8 @@
             connect: span(settings.connect_timeout, 250),
             worker_idle: idle.saturating_sub(idle / 5),
             write_stall: Duration::from_secs(5),
+            frame_stall: Duration::from_millis(200),
+            worker_mute: Duration::from_millis(250),
             write_check: Duration::from_millis(50),
             order: if settings.order_timeout > 0 { settings.order_timeout } else { 10_000_000 },
             board_silence: Duration::from_millis(2_500), // what a silent board has to tell counts 4 s on
--- a/wrenseam/src/worker/frames.rs
+++ b/wrenseam/src/worker/frames.rs
@@ -65,6 +65,11 @@
 }
 
 impl Decoder {
+    /// Whether a frame has begun and is not whole.
+    pub fn midway(&self) -> bool {
+        !self.got.is_empty()
+    }
+
     /// The next whole frame, or what is wrong with the stream.
     pub fn next(&mut self, ring: &mut Ring, most: usize) -> Result<Option<Frame>, String> {
         if self.got.len() < HEADER {
@@ -108,7 +113,7 @@
     })
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, PartialEq)]
 enum What {
     Attempt(AttemptKey),
     Order(u64),
@@ -117,7 +122,7 @@
 /// What is to be written. Calls and orders to load wait for the connection, and may not go after a drain.
 enum Command {
     Open { what: What, id: u64, frame: Vec<u8>, bound: bool },
-    Cancel(AttemptKey),
+    Cancel(What),
     Plain(Vec<u8>),
 }
 
@@ -125,12 +130,15 @@
 struct Exchange {
     what: What,
     end: u64,
+    since: Instant,
 }
 
 #[derive(Default)]
 struct Table {
     open: BTreeMap<u64, Exchange>,
     broken: bool,
+    /// When an answer was last read here.
+    heard: Option<Instant>,
 }
 
 /// What the core's side, the writer and the reader of one connection share.
@@ -189,6 +197,13 @@
         &mut self.links[at]
     }
 
+    fn give_up(&self, what: What) {
+        // Which connection carries it is known to its writer only; the others pass over it.
+        for link in self.links.iter().filter(|l| !l.state.broken.load(Ordering::Acquire)) {
+            let _ = link.commands.send(Command::Cancel(what));
+        }
+    }
+
     fn open(&mut self, what: What, id: u64, bound: bool, frame: Vec<u8>) {
         let link = self.link();
         link.state.load.fetch_add(1, Ordering::AcqRel);
@@ -214,10 +229,15 @@
     }
 
     fn cancel(&mut self, key: AttemptKey) {
-        // Which connection carries it is known to its writer only; the others pass over it.
-        for link in self.links.iter().filter(|l| !l.state.broken.load(Ordering::Acquire)) {
-            let _ = link.commands.send(Command::Cancel(key));
-        }
+        self.give_up(What::Attempt(key));
+    }
+
+    fn lapse(&mut self, order: u64) {
+        self.give_up(What::Order(order));
+    }
+
+    fn is_idle(&self) -> bool {
+        self.links.is_empty()
     }
 
     fn order(&mut self, order: u64, function: FunctionId, copies: u32) {
@@ -315,10 +335,9 @@
         stream.set_nodelay(true).map_err(text)?;
         stream.set_write_timeout(Some(self.limits.write_check)).map_err(text)?;
         let reader = stream.try_clone().map_err(text)?;
-        let (state, reports, most) = (self.state.clone(), self.reports.clone(), self.limits.answer);
-        let size = self.limits.worker_ring;
+        let (state, reports, limits) = (self.state.clone(), self.reports.clone(), self.limits.clone());
         spawn(self.limits.stack, move || {
-            if let Err(why) = read_answers(reader, &state, &reports, most, size) {
+            if let Err(why) = read_answers(reader, &state, &reports, &limits) {
                 note!("worker {address}: connection closed: {why}");
             }
             break_up(&state, &reports);
@@ -373,15 +392,14 @@
 
     /// Drops cancelled exchanges that still wait; those already begun are given up by a frame of their own.
     fn apply_cancels(&mut self) {
-        let cancels: Vec<AttemptKey> = self
+        let cancels: Vec<What> = self
             .waiting
             .iter()
-            .filter_map(|c| if let Command::Cancel(key) = c { Some(*key) } else { None })
+            .filter_map(|c| if let Command::Cancel(what) = c { Some(*what) } else { None })
             .collect();
-        for key in cancels {
-            let is = |what: &What| matches!(what, What::Attempt(k) if *k == key);
+        for given_up in cancels {
             let before = self.waiting.len();
-            self.waiting.retain(|c| !matches!(c, Command::Open { what, .. } if is(what)));
+            self.waiting.retain(|c| !matches!(c, Command::Open { what, .. } if *what == given_up));
             if self.waiting.len() < before {
                 self.state.load.fetch_sub(1, Ordering::AcqRel);
             }
@@ -430,9 +448,9 @@
             let Some(command) = self.waiting.pop_front() else { return Ok(()) };
             let frame = match command {
                 Command::Open { frame, .. } | Command::Plain(frame) => frame,
-                Command::Cancel(key) => match self.give_up(key) {
-                    Some(id) => encode(GIVE_UP, id, "", &[]),
-                    None => continue,
+                Command::Cancel(what) => match (self.give_up(what), what) {
+                    (Some(id), What::Attempt(_)) => encode(GIVE_UP, id, "", &[]),
+                    _ => continue, // an order stands, whether its answer is awaited or not
                 },
             };
             let begin = self.queued;
@@ -446,7 +464,7 @@
                     report(&self.reports, &self.state, what, Outcome::ConnectFailed);
                     continue;
                 }
-                table.open.insert(id, Exchange { what, end: self.queued });
+                table.open.insert(id, Exchange { what, end: self.queued, since: Instant::now() });
                 self.begun.push_back((begin, id, bound));
             }
             self.ring.push(&frame);
@@ -454,12 +472,17 @@
         Ok(())
     }
 
-    /// Closes an attempt that is out here; its id if it was.
-    fn give_up(&self, key: AttemptKey) -> Option<u64> {
+    /// Closes what is out here; its id if it was.
+    fn give_up(&self, what: What) -> Option<u64> {
         let mut table = self.state.table.lock().ok()?;
-        let is = |e: &Exchange| matches!(e.what, What::Attempt(k) if k == key);
-        let id = table.open.iter().find(|(_, e)| is(e)).map(|(&id, _)| id)?;
-        table.open.remove(&id);
+        let id = table.open.iter().find(|(_, e)| e.what == what).map(|(&id, _)| id)?;
+        let since = table.open.remove(&id)?.since;
+        let mute = table.heard.is_none_or(|h| h < since) && since.elapsed() > self.limits.worker_mute;
+        if mute {
+            // Guards new calls from a connection on which nothing comes back any more: they get another, and
+            // this one closes once what is out here has ended.
+            self.state.retired.store(true, Ordering::Release);
+        }
         self.state.load.fetch_sub(1, Ordering::AcqRel);
         Some(id)
     }
@@ -467,17 +490,20 @@
 
 /// Reads answers until the connection ends.
 fn read_answers(
-    mut stream: TcpStream, state: &State, reports: &Reports, most: usize, size: usize,
+    mut stream: TcpStream, state: &State, reports: &Reports, limits: &Limits,
 ) -> Result<(), String> {
-    let (mut ring, mut decoder) = (Ring::new(size), Decoder::default());
+    let (mut ring, mut decoder) = (Ring::new(limits.worker_ring), Decoder::default());
+    stream.set_read_timeout(Some(limits.frame_stall)).map_err(|e| e.to_string())?;
     let end = loop {
         match ring.fill(&mut stream) {
             Ok(0) => break Ok(()),
             Ok(_) => {}
+            // Guards against an answer that stops short: nothing more comes behind it.
+            Err(e) if timed_out(&e) && decoder.midway() => break Err("a frame stopped midway".to_owned()),
             Err(e) if timed_out(&e) => continue,
             Err(e) => break Err(e.to_string()),
         }
-        match answers(&mut decoder, &mut ring, state, reports, most) {
+        match answers(&mut decoder, &mut ring, state, reports, limits.answer) {
             Ok(()) => {}
             // Guards against a stream that is out of step: nothing after this can be trusted.
             Err(why) => break Err(format!("bad frame: {why}")),
@@ -494,6 +520,7 @@
         let outcome = outcome(frame.code).ok_or_else(|| format!("code {}", frame.code))?;
         let exchange = {
             let mut table = state.table.lock().map_err(|_| "poisoned")?;
+            table.heard = Some(Instant::now());
             table.open.remove(&frame.id)
         };
         // An answer to what has ended already comes late and is dropped.
--- a/wrenseam/src/worker/kserve.rs
+++ b/wrenseam/src/worker/kserve.rs
@@ -171,6 +171,12 @@
         }
     }
 
+    fn lapse(&mut self, _order: u64) {} // each exchange ends its connection by itself, see `Job::until`
+
+    fn is_idle(&self) -> bool {
+        self.state.load.load(Ordering::Acquire) == 0
+    }
+
     fn order(&mut self, order: u64, function: FunctionId, copies: u32) {
         let bytes = if copies > 0 {
             let told = map(vec![("slots_up", Value::Number(Number::U64(copies.into())))]);
@@ -325,6 +331,7 @@
         let (mut head, mut body) = (Vec::new(), Vec::new());
         let mut told: Option<Head> = None;
         let mut chunks = Chunked::default();
+        let mut heard = Instant::now();
         loop {
             if let Some(known) = told.as_ref() {
                 let whole = match known.length {
@@ -360,8 +367,13 @@
             }
             match ring.fill(stream) {
                 Ok(0) => return Err("cut".to_owned()),
-                Ok(_) => {}
+                Ok(_) => heard = Instant::now(),
                 Err(e) if timed_out(&e) => {
+                    // Guards against an answer that stops short, as with frames.
+                    let begun = told.is_some() || !head.is_empty();
+                    if begun && heard.elapsed() > self.limits.frame_stall {
+                        return Err("an answer stopped midway".to_owned());
+                    }
                     // Closing the connection is how an exchange is given up.
                     if job.cancelled.load(Ordering::Acquire) || Instant::now() > job.until {
                         return Err("given up".to_owned());
--- a/wrenseam/src/worker/mod.rs
+++ b/wrenseam/src/worker/mod.rs
@@ -31,6 +31,10 @@
     fn send(&mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros);
     /// Gives an attempt up; what is not yet written is not written.
     fn cancel(&mut self, key: AttemptKey);
+    /// Gives an order's answer up: it is awaited no more.
+    fn lapse(&mut self, order: u64);
+    /// Whether no connection is left.
+    fn is_idle(&self) -> bool;
     /// Orders the worker to hold copies; 0 only asks.
     fn order(&mut self, order: u64, function: FunctionId, copies: u32);
     /// Has idle copies unloaded.
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -10,6 +10,8 @@
 //!     worker expect CLASS KEY BODY [same]    the next call at any worker; `same`: in the hall of the last
 //!     worker expect nothing                  no call comes
 //!     worker send ok BODY | full | miss | error | half     answers the last call; `half` ends midway
+//!     worker send stall | spoilt             an answer that stops midway; one whose check does not match
+//!     worker expect closed                   the last call's connection ends
 //!     worker close                           ends the last call's connection
 //!     board expect LAST                      the next call at the board named now, telling this last event
 //!     board send ID WORKER STATE             an event on the connection of the last call
@@ -214,6 +216,7 @@
                 ["worker", "expect", "nothing"] => {
                     assert!(self.calls.recv_timeout(QUIET).is_err(), "{context}: a call came");
                 }
+                ["worker", "expect", "closed"] => last.as_ref().expect(&context).closed(&context),
                 ["worker", "expect", class, key, body, ref hall @ ..] => {
                     let call = self.calls.recv_timeout(PATIENCE).expect(&context);
                     let got = [&call.class[..], &call.key, &call.body];
@@ -547,10 +550,19 @@
 }
 
 impl Call {
+    /// Waits for the end of the connection; what else comes there is for the worker to read.
+    fn closed(&self, context: &str) {
+        let since = Instant::now();
+        while !matches!(self.stream.peek(&mut [0]), Ok(0) | Err(_)) {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        assert!(since.elapsed() < PATIENCE, "{context}: it was open for long");
+    }
+
     fn answer(&self, answer: &[&str]) {
         let (code, status, body) = match *answer {
             ["ok", body] => (200, "200 OK", body),
-            ["half"] => (200, "200 OK", "cut-short"),
+            ["half" | "stall" | "spoilt"] => (200, "200 OK", "cut-short"),
             ["miss"] => (202, "404 Not Found", ""),
             ["full"] => (203, "503 Service Unavailable", ""),
             ["error"] => (204, "500 Internal Server Error", ""),
@@ -566,9 +578,12 @@
                 format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
             }
         };
-        let half = *answer == ["half"];
-        let part = if half { &bytes[..bytes.len() - 8] } else { &bytes[..] };
-        (&self.stream).write_all(part).expect("written");
+        let (half, last) = (*answer == ["half"], bytes.len() - 1);
+        let mut part = if half || *answer == ["stall"] { bytes[..last - 7].to_vec() } else { bytes };
+        if *answer == ["spoilt"] {
+            part[last] ^= 1;
+        }
+        (&self.stream).write_all(&part).expect("written");
         if half {
             self.stream.shutdown(Shutdown::Both).expect("open");
         }
--- a/wrenseam/tests/fronts.rs
+++ b/wrenseam/tests/fronts.rs
@@ -31,6 +31,15 @@
     worker expect nothing
 ";
 
+/// A connection that is of no further use ends, and what was open on it goes elsewhere, once.
+#[rstest]
+#[case::stops_midway("worker send stall\nworker expect closed\nworker expect tile-render - x\nworker send ok X\nclient expect served X")]
+#[case::says_nothing("client expect failed\nworker expect closed")]
+fn useless_worker_connections_end(#[values(Platform, Kserve)] workers: Speech, #[case] then: &str) {
+    let stage = Stage::new(workers);
+    stage.play(Platform, &format!("client send tile-render - x 700\nworker expect tile-render - x\n{then}"));
+}
+
 /// The same mix through either front to either kind of worker comes to the same ends, and workers see the same.
 #[test]
 fn the_same_mix_ends_alike_on_every_path() {
--- a/wrenseam/tests/drain.rs
+++ b/wrenseam/tests/transport.rs
@@ -1,14 +1,15 @@
-//! Guards rule 3: what still waits for a connection when its worker drains is never written.
+//! The transport of frames against sockets: what it writes, and when it lets connections go.
 use bramblepath::{Outcome, Settings};
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{mpsc, Arc};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use wrenseam::core::Message;
 use wrenseam::limits::Limits;
 use wrenseam::worker::frames::Frames;
 use wrenseam::worker::{Reports, Transport};
 
+/// Guards rule 3: what still waits for a connection when its worker drains is never written.
 #[test]
 fn an_order_that_waits_for_a_connection_is_not_written_after_a_drain() {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
@@ -39,3 +40,25 @@
         assert!(got.is_empty(), "{got:?}");
     }
 }
+
+/// Guards descriptors: an order that gets no answer must not hold its connection for ever.
+#[test]
+fn a_connection_whose_order_was_lost_closes_after_it_lapsed() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let (queue, _reports) = mpsc::channel();
+    let limits = Arc::new(Limits::new(192, 1024, &Settings::default()));
+    let mut transport = Frames::new(address, limits, Reports(queue));
+    transport.order(1, 7, 1);
+    let (mut stream, _) = listener.accept().expect("a connection");
+    stream.read_exact(&mut [0; 52]).expect("the order");
+    transport.lapse(1);
+    transport.retire();
+    let since = Instant::now();
+    while !transport.is_idle() {
+        assert!(since.elapsed() < Duration::from_secs(10), "still open");
+        transport.sweep();
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(stream.read_to_end(&mut Vec::new()).expect("closed"), 0, "more than the order was written");
+}
