A reset connection is asked about, not taken for a dead worker; hedge while they break

Now a reset casts doubt: the worker stays in the choice, is asked what it holds (so a new process is still found empty), and the answer takes the mark back; what was open on one connection counts once; a refused connection is still a death. Where a connection broke within 5 s and second copies are allowed, one goes out at 4 times the expected time, half the aim at the least.

--- a/src/control.rs
+++ b/src/control.rs
@@ -38,6 +38,9 @@
 const SLOW: f64 = 2.5; // slow at this multiple of the median's figure: past the spread of kinds
 const HEALTH_FADE: f64 = 6.0 * SEC as f64; // without news health returns to 1 with this time constant
 const SILENT: f64 = 9.0; // an attempt out for this multiple of its expected time with nothing heard
+/// Where two copies may run at once and a connection broke or was spoilt within this time, answers get lost as
+/// well: an attempt then gets a second one after the least multiple of its expected time, and part of its aim.
+const HEDGE: (Micros, f64, f64) = (5 * SEC, 4.0, 0.5);
 const TRIAL_GAP: Micros = SEC; // trial calls and questions to a suspect keep this distance
 const COLD_MARGIN: f64 = 0.7; // part of a cold worker's budget that is used: chance and misjudgement
 /// Crowded: this multiple of the mean held, and this many more. Few gateways see most of what a worker holds
@@ -169,6 +172,13 @@
         block.0 = now + block.1;
     }
 
+    /// A connection broke. It may be the process, which then holds nothing once it is back: it is asked.
+    fn doubt(&mut self, w: usize, now: Micros) {
+        let worker = &mut self.workers[w];
+        (worker.reset, worker.doubted, self.last_reset) = (now, true, now);
+        worker.next_trial = now + TRIAL_GAP / 4;
+    }
+
     /// What part of its full capacity a started worker has for certain; `None` once it is warm.
     fn cold_share(&self, w: usize, now: Micros) -> Option<f64> {
         let (worker, within) = (&self.workers[w], self.set.warm_within);
@@ -530,10 +540,16 @@
             // Of a function never served here the error may lie with the call: no worker is accused.
             Outcome::Error if !self.functions[f].proven => {}
             Outcome::Error | Outcome::Timeout if !a.called_off => sample = Some(BAD),
-            Outcome::Reset | Outcome::ConnectFailed => {
+            Outcome::ConnectFailed => {
                 self.died(w, now);
                 sample = Some(BAD);
             }
+            // Connections end though the process lives: if it does not, the next one is refused. All that was
+            // open on one counts once, or a single spoilt answer would cost a sound worker its calls.
+            Outcome::Reset if now > self.workers[w].reset + TICK => {
+                self.doubt(w, now);
+                sample = Some(BAD);
+            }
             _ => {}
         }
         // Guards against accusing workers of our own stand-still.
@@ -639,7 +655,7 @@
     /// Asks a suspect that gave no answer about a function it last held: an answer brings it back.
     fn trials(&mut self, now: Micros, ready: &[usize], out: &mut Vec<Action>) {
         for &w in ready {
-            if !self.workers[w].dead || now < self.workers[w].next_trial || !self.set.orders {
+            if !self.workers[w].in_doubt() || now < self.workers[w].next_trial || !self.set.orders {
                 continue;
             }
             self.workers[w].next_trial = now + TRIAL_GAP;
@@ -658,12 +674,20 @@
     /// overdue, or sits at a suspect, goes to a free warm worker as well, or instead where two at once are
     /// forbidden (it is called off first, and placed again when that is confirmed).
     fn second_attempts(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let lossy = self.last_reset > 0 && now < self.last_reset + HEDGE.0;
+        let hedge = self.set.second_copies && lossy;
         let overdue = |(&id, r): (&RequestId, &Request)| {
             let a = r.attempts.last().filter(|a| a.open && !r.done && !a.called_off)?;
             let only = r.attempts.iter().filter(|a| a.open).count() == 1;
             let worker = &self.workers[a.worker];
-            let patience = if worker.dead || worker.slow { 1.5 } else { SILENT };
-            let late = now.saturating_sub(a.sent.max(self.woke)) as f64 > patience * a.expected;
+            let aim = self.set.classes[r.class].aim as f64;
+            let patience = match () {
+                () if worker.dead || worker.slow => 1.5 * a.expected,
+                () if hedge => (HEDGE.1 * a.expected).max(HEDGE.2 * aim),
+                () => f64::INFINITY,
+            };
+            let waited = now.saturating_sub(a.sent.max(self.woke)) as f64;
+            let late = waited > patience.min(SILENT * a.expected);
             let limit = (r.attempts.len() as u32) < self.set.max_attempts;
             (only && late && limit && self.set.classes[r.class].effect != Effect::Unsafe).then_some(id)
         };
@@ -871,7 +895,7 @@
         let ready = self.workers[w].ready();
         let old = since < self.workers[w].entry.started_at;
         // It came back without what it held: a new process that no list has told of yet.
-        let emptied = stood && count == 0 && self.workers[w].dead && outcome == Outcome::Ok;
+        let emptied = stood && count == 0 && self.workers[w].in_doubt() && outcome == Outcome::Ok;
         match outcome {
             Outcome::Ok | Outcome::Full | Outcome::Error if ready && !old => {
                 c.count = count;
@@ -881,7 +905,8 @@
                 c.expires = if count > 0 { c.expires.max(sure) } else { 0 };
                 self.workers[w].revive(SLOW);
             }
-            Outcome::Reset | Outcome::ConnectFailed => self.died(w, now),
+            Outcome::ConnectFailed => self.died(w, now),
+            Outcome::Reset => self.doubt(w, now),
             _ => {}
         }
         emptied.then(|| self.void(w));
--- a/src/state.rs
+++ b/src/state.rs
@@ -54,6 +54,8 @@
     pub(crate) dead: bool,
     pub(crate) slow: bool,
     pub(crate) next_trial: Micros,
+    pub(crate) reset: Micros,
+    pub(crate) doubted: bool,
     pub(crate) full_until: Micros,
     /// Until when, and how long, calls of a tenant and class stay away after they were turned away.
     pub(crate) blocks: BTreeMap<(Option<usize>, usize), (Micros, Micros)>,
@@ -98,6 +100,8 @@
             dead: false,
             slow: false,
             next_trial: 0,
+            reset: 0,
+            doubted: false,
             full_until: 0,
             blocks: BTreeMap::new(),
             orders_out: 0,
@@ -107,12 +111,17 @@
 
     /// Takes back that its connection was lost, and what that alone added to its health figure.
     pub(crate) fn revive(&mut self, most: f64) {
-        if std::mem::take(&mut self.dead) {
+        if std::mem::take(&mut self.dead) | std::mem::take(&mut self.doubted) {
             self.health = self.health.min(most);
             self.slow = false;
         }
     }
 
+    /// Whether a lost or broken connection leaves open what it holds.
+    pub(crate) fn in_doubt(&self) -> bool {
+        self.dead || self.doubted
+    }
+
     pub(crate) fn ready(&self) -> bool {
         self.entry.state == WorkerState::Ready
     }
@@ -176,6 +185,7 @@
     pub(crate) served: f64,
     pub(crate) backlog: f64,
     pub(crate) retries: f64,
+    pub(crate) last_reset: Micros,
     pub(crate) questions: f64,
 }
 
