A new worker at a known address ends the one that stood there before

Now the old one is taken for gone when a new id becomes ready at its address. The case in tests/board.rs fails without it (seen).

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -12,6 +12,7 @@
 use bramblepath::{Action, Controller, Effect, Entry, Event, Micros, Outcome, Settings, WorkerState};
 use miniserde::json::{self, Number, Object, Value};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Arc;
@@ -410,6 +411,14 @@
             let gone: Vec<Member> = self.peers.values().filter(left).map(gone).collect();
             members.extend(gone);
         }
+        // Guards a new worker from what is meant for the one that stood at its address before: the list may
+        // tell of that one's end later than of the new one, and calls would go by the old one's account.
+        let new = |m: &&Member| m.state == WorkerState::Ready && !self.peers.contains_key(&m.id);
+        let taken: Vec<SocketAddr> = members.iter().filter(new).map(|m| m.address).collect();
+        let old = |p: &&Peer| taken.contains(&p.member.address) && p.member.speech == source;
+        let gone = |p: &Peer| Member { state: WorkerState::Gone, ..p.member.clone() };
+        let gone: Vec<Member> = self.peers.values().filter(old).map(gone).collect();
+        members.splice(0..0, gone);
         let mut entries = Vec::new();
         for member in members {
             let place = |names: &[String], name: &str| bramblepath::json::position(names, Some(name));
@@ -422,7 +431,7 @@
                 cell: member.cell,
             });
             let ready = member.state == WorkerState::Ready;
-            note!("member {}: {:?} at {}", member.id, member.state, member.address);
+            eprintln!("member {}: {:?} at {}", member.id, member.state, member.address);
             let known = self.peers.get_mut(&member.id);
             // An address may be taken over by a worker that is new: what was open to the old one stays there.
             match known.filter(|p| p.member.address == member.address && p.member.speech == member.speech) {
--- a/wrenseam/tests/board.rs
+++ b/wrenseam/tests/board.rs
@@ -37,6 +37,16 @@
     list expect w1 draining
     list expect w0 ready"
 )]
+// A new worker stands where another did, of which no end has been told.
+#[case::an_address_taken_over(
+    "
+    board expect 1
+    board send 2 old ready
+    list expect old ready
+    board send 3 new ready
+    list expect new ready
+    list expect old absent"
+)]
 // Asked for again once, then passed over.
 #[case::unreadable_event(
     "
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -16,7 +16,7 @@
 //!     board expect LAST                      the next call at the board named now, telling this last event
 //!     board send ID WORKER STATE             an event on the connection of the last call
 //!     board close                            ends it
-//!     list expect WORKER STATE               the program comes to hold this of a worker
+//!     list expect WORKER STATE               the program comes to hold this of a worker, or `absent`
 //!     program reload [broken]                names the other board (a file that cannot be read); SIGHUP
 //!     wait MS
 #![allow(dead_code)]
@@ -179,7 +179,8 @@
             let json = parse(told.split_once("\r\n\r\n").expect("a body").1).expect("JSON");
             let named = |e: &&miniserde::json::Object| text(e, "name") == Some(worker);
             let shown = list(object(&json).expect("an object"), "endpoints");
-            if shown.iter().filter_map(object).find(named).and_then(|e| text(e, "state")) == Some(state) {
+            let found = shown.iter().filter_map(object).find(named);
+            if found.map_or(Some("absent"), |e| text(e, "state")) == Some(state) {
                 return;
             }
             assert!(since.elapsed() < PATIENCE, "{context}: {told}");
