Ask quiet worker connections for a word, and end those that are mute

A probe (ends of orders, attempts and refusals by worker) showed clusters: one front end and one worker at a time, e.g. n0 and s- from 16.8 to 18.1 s: each call sent then was given up after its full wait (1,681 ms, all of one class), 56 orders timed out after 4 s, while calls on a new connection to the same worker were answered in 20 ms. So single connections stay open and carry nothing any more. Ruled out: the worker itself (others' and later calls were answered), the model store (orders that were answered took their usual time), the machine (2 to 38 us late). At fault: worker/frames.rs had only give_up's check, which came when the module gave an attempt up, and then only kept new calls off: what was open waited on. Now the core looks at connections every 50 ms: with something open and quiet for 0.15 s (or a quarter of the oldest's age) it asks for 0 copies of that call's function; with no word for 0.2 s it closes, and what was open is Reset or ConnectFailed, once. Rounds after a stand-still of our own are left out. The check in give_up is gone.

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -71,6 +71,8 @@
     reports: Reports,
     shared: Arc<Shared>,
     last: u64,
+    /// When connections to workers were last looked at.
+    pulsed: Micros,
     requests: HashMap<u64, Open>,
     by_client: BTreeMap<(u64, u64), u64>,
     /// The ids that clients gave, of requests that are owed an answer.
@@ -98,6 +100,7 @@
             reports,
             shared,
             last: 0,
+            pulsed: 0,
             requests: HashMap::new(),
             by_client: BTreeMap::new(),
             wire_ids: HashSet::new(),
@@ -112,6 +115,7 @@
     /// Runs until every sender of the queue is gone.
     pub fn run(mut self) {
         self.timers.set(self.clock.now() + SWEEP, Due::Sweep);
+        self.timers.set(self.clock.now() + self.limits.link_check, Due::Pulse);
         loop {
             match self.queue.recv_timeout(self.timers.wait(self.clock.now())) {
                 Ok(message) => {
@@ -317,6 +321,15 @@
                 self.answer(id, Answer::Failed);
                 self.forget(id);
             }
+            Due::Pulse => {
+                let (now, every) = (self.clock.now(), self.limits.link_check);
+                // Guards sound connections from our own stand-still: what came meanwhile is not read yet.
+                if now < self.pulsed + 2 * every {
+                    self.peers.values_mut().for_each(|p| p.transport.pulse());
+                }
+                self.pulsed = now;
+                self.timers.set(now + every, Due::Pulse);
+            }
             Due::Sweep => {
                 self.peers.values_mut().for_each(|p| p.transport.sweep());
                 // Guards memory: workers are replaced by new ones all day long.
--- a/wrenseam/src/core/timers.rs
+++ b/wrenseam/src/core/timers.rs
@@ -18,6 +18,8 @@
     Order(u64),
     /// A request's client leaves.
     Request(u64),
+    /// Time to look whether connections to workers still answer.
+    Pulse,
     /// Time to look for idle connections.
     Sweep,
 }
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -59,8 +59,12 @@
     pub write_stall: Duration,
     /// An answer of which nothing more comes for this long has stopped short.
     pub frame_stall: Duration,
-    /// An attempt given up after this, with no answer to anything since it was sent, shows a mute connection.
-    pub worker_mute: Duration,
+    /// A worker connection with something open that is quiet for this long is asked for a word, ...
+    pub link_quiet: Duration,
+    /// ... and has ended if none comes within this.
+    pub link_answer: Duration,
+    /// How often worker connections are looked at for that.
+    pub link_check: Micros,
     /// How often a stalled write looks for cancels and drains.
     pub write_check: Duration,
     /// An order unanswered for this long has timed out.
@@ -120,7 +124,9 @@
             worker_idle: idle.saturating_sub(idle / 5),
             write_stall: Duration::from_secs(5),
             frame_stall: Duration::from_millis(200),
-            worker_mute: Duration::from_millis(250),
+            link_quiet: Duration::from_millis(150), // such questions are answered in a few ms under load too
+            link_answer: Duration::from_millis(200),
+            link_check: 50_000,
             write_check: Duration::from_millis(50),
             order: if settings.order_timeout > 0 { settings.order_timeout } else { 10_000_000 },
             board_silence: Duration::from_millis(2_500), // what a silent board has to tell counts 4 s on
--- a/wrenseam/src/worker/frames.rs
+++ b/wrenseam/src/worker/frames.rs
@@ -2,7 +2,7 @@
 use super::{Reports, Transport};
 use crate::core::{AttemptKey, Payload, Report, Request};
 use crate::limits::Limits;
-use crate::net::{spawn, timed_out};
+use crate::net::{connection_number, spawn, timed_out};
 use crate::ring::Ring;
 use bramblepath::{FunctionId, Micros, Outcome};
 use may::net::TcpStream;
@@ -117,13 +117,23 @@
 enum What {
     Attempt(AttemptKey),
     Order(u64),
+    /// A question of the connection's own, whose answer shows that it still carries any.
+    Word,
 }
 
 /// What is to be written. Calls and orders to load wait for the connection, and may not go after a drain.
 enum Command {
-    Open { what: What, id: u64, frame: Vec<u8>, bound: bool },
+    Open {
+        what: What,
+        id: u64,
+        function: FunctionId,
+        frame: Vec<u8>,
+        bound: bool,
+    },
     Cancel(What),
     Plain(Vec<u8>),
+    /// Ends the connection.
+    Close,
 }
 
 /// An exchange of which at least a byte may be on its way: where in the stream its frame ends.
@@ -131,6 +141,7 @@
     what: What,
     end: u64,
     since: Instant,
+    function: FunctionId,
 }
 
 #[derive(Default)]
@@ -156,6 +167,8 @@
     commands: Sender<Command>,
     state: Arc<State>,
     used: Instant,
+    /// When it was asked for a word that has not come.
+    asked: Option<Instant>,
 }
 
 /// The transport to one worker.
@@ -190,7 +203,7 @@
             if let Err(e) = started {
                 note!("worker {address}: no coroutine: {e}"); // the commands' timers end them
             }
-            self.links.push(Link { commands, state, used: Instant::now() });
+            self.links.push(Link { commands, state, used: Instant::now(), asked: None });
             self.links.len() - 1
         });
         self.links[at].used = Instant::now();
@@ -204,13 +217,18 @@
         }
     }
 
-    fn open(&mut self, what: What, id: u64, bound: bool, frame: Vec<u8>) {
+    fn open(&mut self, what: What, id: u64, function: FunctionId, bound: bool, frame: Vec<u8>) {
         let link = self.link();
         link.state.load.fetch_add(1, Ordering::AcqRel);
-        let _ = link.commands.send(Command::Open { what, id, frame, bound }); // its timer ends it at last
+        let _ = link.commands.send(Command::Open { what, id, function, frame, bound });
+        // its timer ends it at last
     }
 }
 
+fn hold(id: u64, function: FunctionId, copies: u32) -> Vec<u8> {
+    encode(HOLD, id, &format!("path={function:016x},slots_up={copies}"), &[])
+}
+
 /// The fields of a call.
 fn call_fields(request: &Request, budget: Micros) -> String {
     let (class, function, budget) = (&request.class, request.function, (budget / 1000).max(1));
@@ -225,7 +243,7 @@
 impl Transport for Frames {
     fn send(&mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros) {
         let frame = encode(CALL, request.wire_id, &call_fields(request, budget), request.payload.bytes());
-        self.open(What::Attempt(key), request.wire_id, true, frame);
+        self.open(What::Attempt(key), request.wire_id, request.function, true, frame);
     }
 
     fn cancel(&mut self, key: AttemptKey) {
@@ -243,8 +261,8 @@
     fn order(&mut self, order: u64, function: FunctionId, copies: u32) {
         // Orders' ids come from the far end of the range, away from chance: clients draw theirs at random.
         let id = u64::MAX - order;
-        let frame = encode(HOLD, id, &format!("path={function:016x},slots_up={copies}"), &[]);
-        self.open(What::Order(order), id, copies > 0, frame);
+        let frame = hold(id, function, copies);
+        self.open(What::Order(order), id, function, copies > 0, frame);
     }
 
     fn unload(&mut self, function: FunctionId) {
@@ -256,6 +274,39 @@
         self.links.iter().for_each(|l| l.state.retired.store(true, Ordering::Release));
     }
 
+    /// Guards calls from a connection that stays open and carries nothing any more: what is open there would
+    /// wait for its full time, and new calls would join it. A question of no effect shows whether it lives.
+    fn pulse(&mut self) {
+        let limits = self.limits.clone();
+        for link in self.links.iter_mut().filter(|l| !l.state.broken.load(Ordering::Acquire)) {
+            let Ok(table) = link.state.table.lock() else { continue };
+            let oldest = table.open.values().filter(|e| e.what != What::Word).min_by_key(|e| e.since);
+            let oldest = oldest.map(|e| (e.since, e.function));
+            let heard = table.heard;
+            drop(table);
+            match (link.asked, oldest) {
+                (Some(asked), _) if heard.is_some_and(|h| h >= asked) => link.asked = None,
+                (Some(asked), _) if asked.elapsed() > limits.link_answer => {
+                    note!("worker {}: connection closed: no word from it", self.address);
+                    link.state.retired.store(true, Ordering::Release);
+                    let _ = link.commands.send(Command::Close);
+                }
+                (None, Some((since, function))) => {
+                    let quiet = heard.map_or(since, |h| h.max(since)).elapsed();
+                    // Asked less and less often while a load is waited for.
+                    if quiet > limits.link_quiet.max(since.elapsed() / 4) {
+                        let (id, what) = (u64::MAX / 2 - connection_number(), What::Word);
+                        link.state.load.fetch_add(1, Ordering::AcqRel);
+                        let frame = hold(id, function, 0);
+                        let _ = link.commands.send(Command::Open { what, id, function, frame, bound: false });
+                        link.asked = Some(Instant::now());
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
     fn sweep(&mut self) {
         let idle = self.limits.worker_idle;
         // Dropping the sender lets the writer close. Guards against a send that crosses the worker's own close.
@@ -284,6 +335,7 @@
     match what {
         What::Attempt(key) => reports.ended(key, Report::bare(outcome)),
         What::Order(order) => reports.ordered(order, outcome, 0),
+        What::Word => {}
     }
 }
 
@@ -361,6 +413,9 @@
             while let Ok(command) = queue.try_recv() {
                 self.waiting.push_back(command);
             }
+            if self.waiting.iter().any(|c| matches!(c, Command::Close)) {
+                return Err("given up".to_owned());
+            }
             self.apply_cancels();
             if self.state.retired.load(Ordering::Acquire) {
                 self.withhold();
@@ -435,8 +490,11 @@
     fn fill(&mut self) -> Result<(), String> {
         while let Some(command) = self.waiting.front() {
             let (len, what) = match command {
-                Command::Open { frame, what, id, bound } => (frame.len(), Some((*what, *id, *bound))),
+                Command::Open { frame, what, id, function, bound } => {
+                    (frame.len(), Some((*what, *id, *function, *bound)))
+                }
                 Command::Plain(frame) => (frame.len(), None),
+                Command::Close => (0, None),
                 Command::Cancel(_) => (HEADER + CHECK, None),
             };
             if len > self.ring.free() {
@@ -448,6 +506,7 @@
             let Some(command) = self.waiting.pop_front() else { return Ok(()) };
             let frame = match command {
                 Command::Open { frame, .. } | Command::Plain(frame) => frame,
+                Command::Close => return Err("given up".to_owned()),
                 Command::Cancel(what) => match (self.give_up(what), what) {
                     (Some(id), What::Attempt(_)) => encode(GIVE_UP, id, "", &[]),
                     _ => continue, // an order stands, whether its answer is awaited or not
@@ -455,7 +514,7 @@
             };
             let begin = self.queued;
             self.queued += frame.len() as u64;
-            if let Some((what, id, bound)) = what {
+            if let Some((what, id, function, bound)) = what {
                 let Ok(mut table) = self.state.table.lock() else { return Err("poisoned".to_owned()) };
                 if table.broken || table.open.contains_key(&id) {
                     // Two exchanges under one id could not be told apart: the later one is not sent.
@@ -464,7 +523,7 @@
                     report(&self.reports, &self.state, what, Outcome::ConnectFailed);
                     continue;
                 }
-                table.open.insert(id, Exchange { what, end: self.queued, since: Instant::now() });
+                table.open.insert(id, Exchange { what, end: self.queued, since: Instant::now(), function });
                 self.begun.push_back((begin, id, bound));
             }
             self.ring.push(&frame);
@@ -476,13 +535,7 @@
     fn give_up(&self, what: What) -> Option<u64> {
         let mut table = self.state.table.lock().ok()?;
         let id = table.open.iter().find(|(_, e)| e.what == what).map(|(&id, _)| id)?;
-        let since = table.open.remove(&id)?.since;
-        let mute = table.heard.is_none_or(|h| h < since) && since.elapsed() > self.limits.worker_mute;
-        if mute {
-            // Guards new calls from a connection on which nothing comes back any more: they get another, and
-            // this one closes once what is out here has ended.
-            self.state.retired.store(true, Ordering::Release);
-        }
+        table.open.remove(&id);
         self.state.load.fetch_sub(1, Ordering::AcqRel);
         Some(id)
     }
@@ -529,6 +582,7 @@
         let number = |name: &str| frame.field(name).and_then(|v| v.parse().ok());
         match exchange.what {
             What::Order(order) => reports.ordered(order, outcome, number("slots_up").unwrap_or(0)),
+            What::Word => {}
             What::Attempt(key) => {
                 let warm = match frame.field("detail") {
                     Some("resident") => Some(true),
--- a/wrenseam/src/worker/kserve.rs
+++ b/wrenseam/src/worker/kserve.rs
@@ -199,6 +199,8 @@
         self.state.epoch.fetch_add(1, Ordering::AcqRel);
     }
 
+    fn pulse(&mut self) {} // a connection carries one exchange: its silence is the exchange's
+
     fn sweep(&mut self) {
         self.out.retain(|(_, flag)| Arc::strong_count(flag) > 1); // idle connections close by themselves
     }
--- a/wrenseam/src/worker/mod.rs
+++ b/wrenseam/src/worker/mod.rs
@@ -41,6 +41,8 @@
     fn unload(&mut self, function: FunctionId);
     /// The worker drains or is gone: calls and orders of which no byte is written yet are not written.
     fn retire(&mut self);
+    /// Looks whether connections on which answers are awaited still carry any. Called often.
+    fn pulse(&mut self);
     /// Closes connections that have been idle for long.
     fn sweep(&mut self);
 }
