--- a/src/control.rs
+++ b/src/control.rs
@@ -38,8 +38,8 @@
 const SLOW: f64 = 2.5; // slow at this multiple of the median's figure: past the spread of kinds
 const HEALTH_FADE: f64 = 6.0 * SEC as f64; // without news health returns to 1 with this time constant
 const SILENT: f64 = 9.0; // an attempt out for this multiple of its expected time with nothing heard
-/// Where two copies may run at once and a connection broke or was spoilt within this time, answers get lost as
-/// well: an attempt then gets a second one after the least multiple of its expected time, and part of its aim.
+/// Where two copies may run at once and a connection broke or was spoilt within this time, answers get lost
+/// as well: an attempt then gets a second one after this multiple of its expected time, and part of its aim.
 const HEDGE: (Micros, f64, f64) = (5 * SEC, 4.0, 0.5);
 const TRIAL_GAP: Micros = SEC; // trial calls and questions to a suspect keep this distance
 const COLD_MARGIN: f64 = 0.7; // part of a cold worker's budget that is used: chance and misjudgement
