Ask a quiet connection seldom while only a load is waited for

At fault: frames.rs pulse asked at a quarter of the oldest call's age, about ten times in a load of 2 s, and a load that was waited for put off the question for new calls. Now a connection is asked after 0.2 s of silence if a call was sent since the last word, else after half the age of the oldest: four times in such a load. No test of its own: the cases of mute and slow connections hold both sides.

--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -124,7 +124,7 @@
             worker_idle: idle.saturating_sub(idle / 5),
             write_stall: Duration::from_secs(5),
             frame_stall: Duration::from_millis(200),
-            link_quiet: Duration::from_millis(150), // such questions are answered in a few ms under load too
+            link_quiet: Duration::from_millis(200), // such questions are answered in a few ms under load too
             link_answer: Duration::from_millis(200),
             link_check: 50_000,
             write_check: Duration::from_millis(50),
--- a/wrenseam/src/worker/frames.rs
+++ b/wrenseam/src/worker/frames.rs
@@ -280,9 +280,10 @@
         let limits = self.limits.clone();
         for link in self.links.iter_mut().filter(|l| !l.state.broken.load(Ordering::Acquire)) {
             let Ok(table) = link.state.table.lock() else { continue };
-            let oldest = table.open.values().filter(|e| e.what != What::Word).min_by_key(|e| e.since);
-            let oldest = oldest.map(|e| (e.since, e.function));
+            let open = || table.open.values().filter(|e| e.what != What::Word);
+            let oldest = open().min_by_key(|e| e.since).map(|e| (e.since, e.function));
             let heard = table.heard;
+            let new = open().any(|e| heard.is_none_or(|h| e.since > h));
             drop(table);
             match (link.asked, oldest) {
                 (Some(asked), _) if heard.is_some_and(|h| h >= asked) => link.asked = None,
@@ -293,8 +294,9 @@
                 }
                 (None, Some((since, function))) => {
                     let quiet = heard.map_or(since, |h| h.max(since)).elapsed();
-                    // Asked less and less often while a load is waited for.
-                    if quiet > limits.link_quiet.max(since.elapsed() / 4) {
+                    // Asked less and less often while only a load is waited for.
+                    let waited = if new { Duration::ZERO } else { since.elapsed() / 2 };
+                    if quiet > limits.link_quiet.max(waited) {
                         let (id, what) = (u64::MAX / 2 - connection_number(), What::Word);
                         link.state.load.fetch_add(1, Ordering::AcqRel);
                         let frame = hold(id, function, 0);
