Slow loads at one worker are its own line: the cap on loads in flight follows the store alone

A probe in add_copy: of some thousand attempts to order a copy nearly all ended at the cap, which had fallen from 8 to between 1 and 2.5 within two seconds. Loads took 2 to 4.5 times their usual time at one old worker only (three run at a time there, our three gateways had chosen it by the common draw) and 0.7 to 1.2 times at the new ones; single loads failed by chance. Ruled out: the cold budget (usable in nearly all cases), the ration, memory, refusals. At fault: control.rs loaded(): any slow load cut the cap by 0.3, any failed one by half. Now a slow load lowers it only if three in four of the workers that loaded of late were slow; such a worker gets one load at a time for 2 s; two failures within 2 s count, one does not.

--- a/src/control.rs
+++ b/src/control.rs
@@ -26,8 +26,9 @@
 const FORGET: Micros = 4; // keep-alives after its last call at which a function is forgotten
 const DEFAULT_SPAN: Micros = SEC; // keep-alive, load time and aim where none is told
 const LOADS_PER_WORKER: u32 = 2; // asked of one worker at a time by us: it runs few, others ask too
-const LOAD_CAP: (f64, f64) = (1.0, 8.0); // bounds of the adaptive cap on our loads in flight
+const LOAD_CAP: (f64, f64) = (1.0, 16.0); // bounds of the adaptive cap on our loads in flight
 const LOAD_SLOW: f64 = 2.0; // a load this multiple of its usual time shows that the store is crowded
+const PACE_KEPT: Micros = 2 * SEC; // how long a worker's last load tells how it loads
 const COPIES_PER_CALL: f64 = 1.0; // copies beyond the first for each call in flight: a core's work
 const MEMORY_FULL: f64 = 0.65; // share of memory that our account fills before it drops what it replaces
 const CALLS_COUNTED: f64 = 30.0; // rates are taken over so many calls, within these bounds of time:
@@ -235,6 +236,18 @@
         self.held_at(w, now) * self.workers[w].health > self.mean_held * bound.0 + bound.1
     }
 
+    /// Whether loads are slow wherever they went of late. Guards against taking one worker's queue of loads for
+    /// the store: with no loads allowed elsewhere, workers that are new would stay empty.
+    fn store_crowded(&self, now: Micros) -> bool {
+        let told = |w: &&Worker| w.ready() && now < w.load_pace.0 + PACE_KEPT;
+        let (all, slow) = self
+            .workers
+            .iter()
+            .filter(told)
+            .fold((0, 0), |(all, slow), w| (all + 1, slow + usize::from(w.load_pace.1 > LOAD_SLOW)));
+        slow * 4 > all * 3
+    }
+
     /// Requests a worker is thought to hold: its last report, fading to the mean, and ours since.
     fn held_at(&self, w: usize, now: Micros) -> f64 {
         let ours = self.workers[w].out.len() as f64;
@@ -795,6 +808,7 @@
     /// A slot once given away is passed over until its function is used again, as if it had been evicted.
     fn target(&mut self, f: usize, now: Micros, id: Option<RequestId>) -> Option<usize> {
         let (class, places) = (self.functions[f].class, self.places(f, draw));
+        let slowly = |w: &Worker| now < w.load_pace.0 + PACE_KEPT && w.load_pace.1 > LOAD_SLOW;
         let fits = |w: usize, warm_too: bool| {
             let worker = &self.workers[w];
             let c = self.functions[f].at.get(&w);
@@ -802,7 +816,7 @@
             self.usable(w, class, now)
                 && !(self.suspect(w) || here)
                 && (warm_too || !self.crowded(w, now))
-                && worker.orders_out < LOADS_PER_WORKER
+                && worker.orders_out < if slowly(worker) { 1 } else { LOADS_PER_WORKER }
                 && now >= worker.full_until
                 && id.is_none_or(|id| self.allowed(id, w, now))
         };
@@ -890,8 +904,9 @@
         }
     }
 
-    /// The answer to a hold or a question. Guards the shared store: slow or failed loads halve our cap on
-    /// loads in flight, good ones raise it slowly.
+    /// The answer to a hold or a question. Guards the shared store: loads that are slow everywhere, or fail one
+    /// after another, lower our cap on
+    /// loads in flight; good ones raise it slowly.
     fn loaded(
         &mut self, now: Micros, w: usize, f: usize, reply: (u32, Outcome, Micros), out: &mut Vec<Action>,
     ) {
@@ -928,10 +943,20 @@
             if outcome == Outcome::Ok && !stood && took > 20.0 * MS as f64 {
                 let usual = if function.load_time > 0.0 { function.load_time } else { took };
                 let slow = took > LOAD_SLOW * usual;
-                self.load_cap = if slow { self.load_cap * 0.7 } else { self.load_cap + 0.25 };
+                self.workers[w].load_pace = (now, took / usual);
+                if !slow {
+                    self.load_cap += 0.25;
+                } else if self.store_crowded(now) {
+                    self.load_cap *= 0.7;
+                }
+                let function = &mut self.functions[f];
                 function.load_time = if slow { usual } else { usual + ALPHA * (took - usual) };
             } else if matches!(outcome, Outcome::Error | Outcome::Timeout) {
-                self.load_cap /= 2.0;
+                // One in a hundred fails by chance: a second one soon after tells of the store.
+                if now < self.load_failed + PACE_KEPT {
+                    self.load_cap /= 2.0;
+                }
+                self.load_failed = now;
             } else if outcome == Outcome::Full {
                 self.workers[w].full_until = now + FULL_WAIT;
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -60,6 +60,8 @@
     /// Until when, and how long, calls of a tenant and class stay away after they were turned away.
     pub(crate) blocks: BTreeMap<(Option<usize>, usize), (Micros, Micros)>,
     pub(crate) orders_out: u32,
+    /// When its last load ended, and the multiple of the usual time that it took.
+    pub(crate) load_pace: (Micros, f64),
     pub(crate) budget: f64,
 }
 
@@ -105,6 +107,7 @@
             full_until: 0,
             blocks: BTreeMap::new(),
             orders_out: 0,
+            load_pace: (0, 1.0),
             budget: 0.0,
         }
     }
@@ -173,6 +176,7 @@
     pub(crate) ordered: VecDeque<Micros>,
     pub(crate) loads_out: u32,
     pub(crate) load_cap: f64,
+    pub(crate) load_failed: Micros,
     pub(crate) class_service: Vec<f64>,
     pub(crate) tenant_rate: Vec<f64>,
     pub(crate) busy: f64,
