--- a/src/control.rs
+++ b/src/control.rs
@@ -236,8 +236,8 @@
         self.held_at(w, now) * self.workers[w].health > self.mean_held * bound.0 + bound.1
     }
 
-    /// Whether loads are slow wherever they went of late. Guards against taking one worker's queue of loads for
-    /// the store: with no loads allowed elsewhere, workers that are new would stay empty.
+    /// Whether loads are slow wherever they went of late. Guards against taking the line at one worker for
+    /// the store: with no loads allowed elsewhere, workers that are new stay empty.
     fn store_crowded(&self, now: Micros) -> bool {
         let told = |w: &&Worker| w.ready() && now < w.load_pace.0 + PACE_KEPT;
         let (all, slow) = self
@@ -904,7 +904,7 @@
         }
     }
 
-    /// The answer to a hold or a question. Guards the shared store: loads that are slow everywhere, or fail one
+    /// The answer to a hold or a question. Guards the shared store: loads slow everywhere, or failing one
     /// after another, lower our cap on
     /// loads in flight; good ones raise it slowly.
     fn loaded(
