Foresee calls on timers: hold a copy just before the next, drop it in between

Renewals at 0.75 of a keep-alive found nothing. At fault: control.rs renew(), which keeps a last copy between calls and knows nothing of when the next is due. Ruled out: the store (loads took 0.8 of their usual time), spoilt answers. Now the distance between firings is noted; one distance makes an expectation, after one that failed two alike. A copy is held 1.5 load times and 250 ms before, within ration and cap; after two alike distances idle copies are dropped 0.3 s after the calls. The test fails without foresee(). Controller::new, free() and draw() moved to state.rs unchanged.

--- a/src/control.rs
+++ b/src/control.rs
@@ -5,8 +5,6 @@
 //! lost function lies idle. Everything else below is a guard, and says what it guards against.
 use crate::interface::*;
 use crate::state::*;
-use rand_pcg::rand_core::SeedableRng;
-use rand_pcg::Pcg32;
 
 const MS: Micros = 1_000;
 const SEC: Micros = 1_000_000;
@@ -14,19 +12,24 @@
 const SURVEY: Micros = 100 * MS; // period of what walks the fleet, and of idle housekeeping
 const PLACES_ASKED: usize = 6; // first places of the common draw that are asked: others looked there too
 const END_MARGIN: Micros = 8 * MS; // the final answer comes this long before the client leaves
-const LONGEST: Micros = 3_600 * SEC; // longest request life kept: absurd figures cannot overflow the clock
+pub(crate) const LONGEST: Micros = 3_600 * SEC; // longest life kept: absurd figures cannot overflow the clock
 const ASK_WAIT: Micros = 60 * MS; // a lost request waits this long for first answers: several round trips
 const ASK_AGAIN: Micros = 4 * SEC; // no second question sooner: others' loads take a good part of that
 /// Questions that each call earns, and how many can be saved up: a round for some tens of functions.
-const QUESTIONS: (f64, f64) = (0.5, 600.0);
+pub(crate) const QUESTIONS: (f64, f64) = (0.5, 600.0);
 const KEEP_USED: f64 = 0.9; // share of the told keep-alive that a belief lasts: travel time, slack
 const BELIEVED: f64 = 4.0; // most keep-alives for which others' calls are trusted to keep a copy
 const RENEW_AT: f64 = 0.75; // share of a belief's life after which a hold renews it, to arrive in time
 const RENEW_FOR: f64 = 2.0; // keep-alives after a call while the last copy is renewed: timers call so often
+/// Calls at a steady distance are foreseen: this multiple of a load's time and this much more before the next
+/// one a copy is held. Calls closer than the last figure are one firing.
+const FORESEEN: (f64, Micros) = (1.5, 250 * MS);
+const FIRING: Micros = SEC;
+const RESTS: Micros = 300 * MS; // a function on a timer has no more calls so long after one
 const FORGET: Micros = 4; // keep-alives after its last call at which a function is forgotten
-const DEFAULT_SPAN: Micros = SEC; // keep-alive, load time and aim where none is told
+pub(crate) const DEFAULT_SPAN: Micros = SEC; // keep-alive, load time and aim where none is told
 const LOADS_PER_WORKER: u32 = 2; // asked of one worker at a time by us: it runs few, others ask too
-const LOAD_CAP: (f64, f64) = (1.0, 16.0); // bounds of the adaptive cap on our loads in flight
+pub(crate) const LOAD_CAP: (f64, f64) = (1.0, 16.0); // bounds of the adaptive cap on our loads in flight
 const LOAD_SLOW: f64 = 2.0; // a load this multiple of its usual time shows that the store is crowded
 const PACE_KEPT: Micros = 2 * SEC; // how long a worker's last load tells how it loads
 const COPIES_PER_CALL: f64 = 1.0; // copies beyond the first for each call in flight: a core's work
@@ -58,7 +61,7 @@
 /// What a worker with room turns away stays away so long, first and at most: calls come round within it.
 const AWAY: (Micros, Micros) = (5 * SEC, 20 * SEC);
 /// Requests out at each worker, over all gateways, below which nothing is refused: about one a core.
-const CROWD: f64 = 4.0;
+pub(crate) const CROWD: f64 = 4.0;
 /// Multiples of the mean aim beyond which the time from send to answer refuses: traffic beyond a share, the
 /// class that earns least a unit of time, the one that earns most.
 const REFUSE: (f64, f64, f64) = (0.6, 0.8, 1.3);
@@ -69,41 +72,7 @@
 const UNPROVEN_ERRORS: u32 = 2; // errors after which a call of a function never served here ends
 const RETRY_SHARE: f64 = 0.15; // further attempts earned by a request: bounds what they add to overload
 
-impl Copy {
-    /// Lanes not taken by our requests, nor by others' where a recent note told of them.
-    fn free(&self, now: Micros, lanes: u32) -> bool {
-        let others = if now < self.others.0 + SEC / 2 { self.others.1 } else { 0 };
-        self.ours + others < self.count.saturating_mul(lanes)
-    }
-}
-
 impl Controller {
-    /// A gateway that knows nothing yet; `seed` starts its random numbers.
-    pub fn new(mut settings: Settings, seed: u64) -> Self {
-        // An unknown class is taken for an unsafe one without an aim or worth; absurd figures are clamped.
-        let (effect, group, window, worth) = (Effect::Unsafe, Group::Cell, 0, 0.0);
-        let name = String::new();
-        settings.classes.push(ClassSettings { name, effect, group, window, aim: LONGEST, worth });
-        for c in &mut settings.classes {
-            c.aim = if c.aim > 0 { c.aim.min(LONGEST) } else { LONGEST };
-            c.window = c.window.min(LONGEST);
-        }
-        settings.max_attempts = settings.max_attempts.wrapping_sub(1).saturating_add(1); // 0: no limit
-        let spans = [&mut settings.load_window, &mut settings.fall_window, &mut settings.keep];
-        spans.into_iter().for_each(|s| *s = (*s).min(LONGEST));
-        Controller {
-            rng: Some(Pcg32::seed_from_u64(seed)),
-            class_service: settings.classes.iter().map(|c| c.aim.min(DEFAULT_SPAN) as f64 / 4.0).collect(),
-            tenant_rate: vec![0.0; settings.tenants.len()],
-            mean_held: CROWD,
-            load_cap: LOAD_CAP.1 / 2.0,
-            retries: 5.0,
-            questions: QUESTIONS.1,
-            set: settings,
-            ..Controller::default()
-        }
-    }
-
     /// Takes one event at clock time `now` and appends what is to be done to `out`.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         if self.ticks == 0 {
@@ -277,6 +246,9 @@
         (told.memory, told.lanes) = (sane(memory_mb, told.memory), lanes.clamp(1, 1024));
         let past = now.saturating_sub(told.last_call) as f64;
         told.calls = told.calls * (-past / SPANS.1 as f64).exp() + 1.0;
+        if !retry && now > told.last_call + FIRING {
+            told.fires(now);
+        }
         (told.class, told.last_call) = (class, now);
         let life = self.belief(f);
         for c in self.functions[f].at.values_mut().filter(|c| c.count > 0) {
@@ -672,6 +644,7 @@
         self.trials(now, &ready, out);
         self.ready = ready;
         self.renew(now, out);
+        self.foresee(now, out);
         self.forget(now.saturating_sub(FORGET * self.keep()));
     }
 
@@ -743,7 +716,7 @@
     /// awaited. Guards against a (re)started gateway loading what others have loaded already.
     fn ask(&mut self, f: usize, now: Micros, out: &mut Vec<Action>) -> bool {
         let most = if self.set.gateways > 1 { PLACES_ASKED } else { usize::MAX };
-        let places = self.places(f, draw);
+        let places = self.places(f);
         let open = |&w: &usize| self.set.orders && self.workers[w].ready() && !self.suspect(w);
         let places: Vec<usize> = places.into_iter().filter(open).take(most).collect();
         let mut awaited = false;
@@ -807,7 +780,7 @@
     /// Where a new copy goes: a random worker on which the least recently lost function lies idle, else any.
     /// A slot once given away is passed over until its function is used again, as if it had been evicted.
     fn target(&mut self, f: usize, now: Micros, id: Option<RequestId>) -> Option<usize> {
-        let (class, places) = (self.functions[f].class, self.places(f, draw));
+        let (class, places) = (self.functions[f].class, self.places(f));
         let slowly = |w: &Worker| now < w.load_pace.0 + PACE_KEPT && w.load_pace.1 > LOAD_SLOW;
         let fits = |w: usize, warm_too: bool| {
             let worker = &self.workers[w];
@@ -891,7 +864,8 @@
         let lead = (keep as f64 * (1.0 - RENEW_AT)) as Micros;
         for f in 0..self.functions.len() {
             let function = &self.functions[f];
-            if now > function.last_call + (keep as f64 * RENEW_FOR) as Micros || !self.set.orders {
+            let over = now > function.last_call + (keep as f64 * RENEW_FOR) as Micros;
+            if over || function.steady > 0 || !self.set.orders {
                 continue;
             }
             let warm =
@@ -904,6 +878,39 @@
         }
     }
 
+    /// The loss that a call on a timer will be, answered ahead: such calls come about when idle copies are
+    /// unloaded, or their room is taken sooner, and a load takes longer than their aim.
+    fn foresee(&mut self, now: Micros, out: &mut Vec<Action>) {
+        for f in 0..self.functions.len() {
+            let g = &self.functions[f];
+            let (due, lead) = (g.fired + g.period, (FORESEEN.0 * g.load_time) as Micros + FORESEEN.1);
+            let soon = now + lead >= due && now < due + FIRING;
+            let idle = g.held.is_empty() && g.at.values().all(|c| c.ours == 0 && !c.loading());
+            if g.steady == 0 || !idle || !self.set.orders {
+                continue;
+            }
+            // Nothing calls it before: its room is worth more to others, which would else lose theirs.
+            if g.steady == 2 && now > g.last_call + RESTS && now + 2 * lead < due {
+                self.drop_idle(f, now, out);
+            }
+            if !soon || self.functions[f].foreseen == self.functions[f].fired {
+                continue;
+            }
+            if f64::from(self.loads_out) + 1.0 > self.load_cap || self.rationed(now, false) {
+                continue;
+            }
+            let g = &self.functions[f];
+            let warm = |(&w, c): (&usize, &Copy)| (c.warm(now) && self.usable(w, g.class, now)).then_some(w);
+            let known = g.at.iter().find_map(warm);
+            let Some(w) = known.or_else(|| self.target(f, now, None)) else { continue };
+            if known.is_none() {
+                self.make_room(f, w, now, out);
+            }
+            self.functions[f].foreseen = self.functions[f].fired;
+            self.hold(f, w, 1, now, out);
+        }
+    }
+
     /// The answer to a hold or a question. Guards the shared store: loads slow everywhere, or failing one
     /// after another, lower our cap on
     /// loads in flight; good ones raise it slowly.
@@ -940,6 +947,9 @@
             self.workers[w].orders_out -= 1;
             let function = &mut self.functions[f];
             let took = elapsed as f64;
+            if outcome != Outcome::Ok {
+                function.foreseen = 0; // to be tried again in time
+            }
             if outcome == Outcome::Ok && !stood && took > 20.0 * MS as f64 {
                 let usual = if function.load_time > 0.0 { function.load_time } else { took };
                 let slow = took > LOAD_SLOW * usual;
@@ -966,13 +976,6 @@
     }
 }
 
-/// A place in an order of workers that looks random and is the same at every gateway.
-fn draw(function: FunctionId, worker: &str) -> u64 {
-    let mix = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
-    let h = worker.bytes().fold(function ^ 0xcbf2_9ce4_8422_2325, mix);
-    (h ^ (h >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) ^ (h >> 32)
-}
-
 /// The paper's effective theta for a busy share and d instances a worker, the share clamped as designed.
 pub(crate) fn theta(busy: f64, d: f64) -> f64 {
     let rho = busy.clamp(0.05, 0.95);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,12 @@
 //! What a gateway remembers: plain records, read and written by `control.rs` alone. Nothing is decided here.
+use crate::control::{CROWD, DEFAULT_SPAN, LOAD_CAP, LONGEST, QUESTIONS};
 use crate::interface::*;
-use rand_pcg::rand_core::RngCore;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+const NOTED: Micros = 500_000; // how long a note of others' calls is believed
+
 /// An order to a worker that is out, and since when.
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum Order {
@@ -38,11 +41,30 @@
     pub(crate) last_call: Micros,
     pub(crate) last_lost: Micros,
     pub(crate) proven: bool,
+    /// The last firing, its distance from the one before, and whether the next is expected at the same: 1, or 2
+    /// where it came so before.
+    pub(crate) fired: Micros,
+    pub(crate) period: Micros,
+    pub(crate) steady: u8,
+    /// The firing after which a copy was ordered for the next.
+    pub(crate) foreseen: Micros,
     pub(crate) at: BTreeMap<usize, Copy>,
     pub(crate) places: Vec<usize>,
     pub(crate) held: VecDeque<RequestId>,
 }
 
+impl Function {
+    /// A firing: calls after a pause. One distance alone makes an expectation; after one that failed, two alike.
+    pub(crate) fn fires(&mut self, now: Micros) {
+        let (gap, first) = (now - self.fired, self.period == 0);
+        if self.fired > 0 {
+            self.steady = if gap.abs_diff(self.period) < gap / 16 { 2 } else { u8::from(first) };
+            self.period = gap;
+        }
+        self.fired = now;
+    }
+}
+
 /// A listed worker: our attempts out by age, its last report, and how it has done of late.
 pub(crate) struct Worker {
     pub(crate) entry: Entry,
@@ -135,6 +157,12 @@
         self.count > 0 && (self.expires > now || self.ours > 0)
     }
 
+    /// Lanes not taken by our requests, nor by others' where a recent note told of them.
+    pub(crate) fn free(&self, now: Micros, lanes: u32) -> bool {
+        let others = if now < self.others.0 + NOTED { self.others.1 } else { 0 };
+        self.ours + others < self.count.saturating_mul(lanes)
+    }
+
     pub(crate) fn holding(&self) -> bool {
         matches!(self.order, Some(Order::Hold(_)))
     }
@@ -196,6 +224,32 @@
 }
 
 impl Controller {
+    /// A gateway that knows nothing yet; `seed` starts its random numbers.
+    pub fn new(mut settings: Settings, seed: u64) -> Self {
+        // An unknown class is taken for an unsafe one without an aim or worth; absurd figures are clamped.
+        let (effect, group, window, worth) = (Effect::Unsafe, Group::Cell, 0, 0.0);
+        let name = String::new();
+        settings.classes.push(ClassSettings { name, effect, group, window, aim: LONGEST, worth });
+        for c in &mut settings.classes {
+            c.aim = if c.aim > 0 { c.aim.min(LONGEST) } else { LONGEST };
+            c.window = c.window.min(LONGEST);
+        }
+        settings.max_attempts = settings.max_attempts.wrapping_sub(1).saturating_add(1); // 0: no limit
+        let spans = [&mut settings.load_window, &mut settings.fall_window, &mut settings.keep];
+        spans.into_iter().for_each(|s| *s = (*s).min(LONGEST));
+        Controller {
+            rng: Some(Pcg32::seed_from_u64(seed)),
+            class_service: settings.classes.iter().map(|c| c.aim.min(DEFAULT_SPAN) as f64 / 4.0).collect(),
+            tenant_rate: vec![0.0; settings.tenants.len()],
+            mean_held: CROWD,
+            load_cap: LOAD_CAP.1 / 2.0,
+            retries: 5.0,
+            questions: QUESTIONS.1,
+            set: settings,
+            ..Controller::default()
+        }
+    }
+
     /// Forgets all copies at a worker: its process died, restarted or left.
     pub(crate) fn void(&mut self, w: usize) {
         for f in std::mem::take(&mut self.workers[w].holds) {
@@ -331,6 +385,17 @@
         out.push(self.order(f, w, count));
     }
 
+    /// Has the copies of a function unloaded that lie idle, wherever they are believed.
+    pub(crate) fn drop_idle(&mut self, f: usize, now: Micros, out: &mut Vec<Action>) {
+        let function = &mut self.functions[f];
+        for (&w, c) in function.at.iter_mut().filter(|(_, c)| c.warm(now) && c.ours == 0 && c.order.is_none())
+        {
+            c.count = 0;
+            let worker = self.workers[w].entry.worker.clone();
+            out.push(Action::Drop { worker, function: function.id });
+        }
+    }
+
     /// Records an attempt that goes out; `cold` if it is to load the function, `expected` its likely time.
     pub(crate) fn sent(&mut self, now: Micros, id: RequestId, w: usize, cold: bool, expected: f64) {
         let Some(r) = self.requests.get_mut(&id) else { return };
@@ -348,7 +413,7 @@
     }
 
     /// All workers in the function's order of a draw, highest first; made anew when workers were added.
-    pub(crate) fn places(&mut self, f: usize, draw: fn(FunctionId, &str) -> u64) -> Vec<usize> {
+    pub(crate) fn places(&mut self, f: usize) -> Vec<usize> {
         let (id, workers) = (self.functions[f].id, &self.workers);
         if self.functions[f].places.len() != workers.len() {
             let mut places: Vec<usize> = (0..workers.len()).collect();
@@ -389,3 +454,10 @@
         (function.at.iter().filter(warm).count(), f64::from(flying))
     }
 }
+
+/// A place in an order of workers that looks random and is the same at every gateway.
+pub(crate) fn draw(function: FunctionId, worker: &str) -> u64 {
+    let mix = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
+    let h = worker.bytes().fold(function ^ 0xcbf2_9ce4_8422_2325, mix);
+    (h ^ (h >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) ^ (h >> 32)
+}
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -189,3 +189,34 @@
     }
     panic!("w0 was never drawn");
 }
+
+/// Feeds one call of function 7 at each of these distances, answered at once, and returns what is ordered
+/// after each: copies to hold within the last second before the next, at other times, and copies dropped.
+fn fire(gaps: &[Micros]) -> Vec<(usize, usize, usize)> {
+    let mut rig = Rig::new(settings(), 3);
+    let after = |(n, &gap): (usize, &Micros)| {
+        let mut out = rig.request(n as u64, SAFE, 7);
+        for w in loads(&out, 0) {
+            out.extend(rig.loaded(&w, 7, 0, Outcome::Ok));
+        }
+        for w in loads(&out, 1) {
+            rig.loaded(&w, 7, 1, Outcome::Ok);
+        }
+        rig.outcome(n as u64, 0, Outcome::Ok, 50 * MS);
+        let (early, late) = (rig.pass(gap - SEC), rig.pass(SEC));
+        loads(&late, 1).iter().for_each(|w| drop(rig.loaded(w, 7, 1, Outcome::Ok)));
+        let drops = early.iter().filter(|a| matches!(a, Action::Drop { .. })).count();
+        (loads(&late, 1).len(), loads(&early, 1).len(), drops)
+    };
+    gaps.iter().enumerate().map(after).collect()
+}
+
+/// Seen on sockets: eight in ten calls on timers found no copy, as it had been unloaded in between, and their
+/// copies, kept though nothing called them, took the room of others.
+#[test]
+fn a_call_on_a_timer_finds_a_copy_held_ahead_and_none_is_kept_in_between() {
+    let even = fire(&[10 * SEC; 5]);
+    assert!(even[2..].iter().all(|&(ahead, else_, drops)| (ahead, else_, drops) == (1, 0, 1)), "{even:?}");
+    let uneven = fire(&[10 * SEC, 7 * SEC, 12 * SEC, 9 * SEC, 6 * SEC, 10 * SEC]);
+    assert!(uneven[2..].iter().all(|&(ahead, _, drops)| (ahead, drops) == (0, 0)), "{uneven:?}");
+}
