Crowded at 1.5 times the mean held, 40 loads over all gateways, copies by 0.6 of the calls in flight

At fault: control.rs LOAD_CAP, which did not know how many gateways load, and CROWDED_FEW (2.0, 1.5). Both tests fail without the change.

--- a/src/control.rs
+++ b/src/control.rs
@@ -29,10 +29,11 @@
 const FORGET: Micros = 4; // keep-alives after its last call at which a function is forgotten
 pub(crate) const DEFAULT_SPAN: Micros = SEC; // keep-alive, load time and aim where none is told
 const LOADS_PER_WORKER: u32 = 2; // asked of one worker at a time by us: it runs few, others ask too
-pub(crate) const LOAD_CAP: (f64, f64) = (1.0, 16.0); // bounds of the adaptive cap on our loads in flight
+/// Bounds of the adaptive cap on our loads in flight, and loads of all gateways at which the upper one lies.
+pub(crate) const LOAD_CAP: (f64, f64, f64, f64) = (1.0, 8.0, 16.0, 40.0);
 const LOAD_SLOW: f64 = 2.0; // a load this multiple of its usual time shows that the store is crowded
 const PACE_KEPT: Micros = 2 * SEC; // how long a worker's last load tells how it loads
-const COPIES_PER_CALL: f64 = 1.0; // copies beyond the first for each call in flight: a core's work
+const COPIES_PER_CALL: f64 = 0.6; // copies beyond the first for each call in flight: a core's work
 const MEMORY_FULL: f64 = 0.65; // share of memory that our account fills before it drops what it replaces
 const CALLS_COUNTED: f64 = 30.0; // rates are taken over so many calls, within these bounds of time:
 const SPANS: (Micros, Micros) = (2 * SEC, 8 * SEC);
@@ -51,7 +52,7 @@
 /// Crowded: this multiple of the mean held, and this many more. Few gateways see most of what a worker holds
 /// themselves: there a tight bound made losses, and so loads, of ordinary unevenness.
 const CROWDED: (f64, f64) = (1.25, 0.75);
-const CROWDED_FEW: (f64, f64) = (2.0, 1.5);
+const CROWDED_FEW: (f64, f64) = (1.5, 1.0);
 const FEW: u32 = 16; // gateways
 /// Bounds of the time constant of a report: the time in which our calls come round to every worker.
 const REPORT_FADE: (f64, f64) = (2.0 * SEC as f64, 15.0 * SEC as f64);
@@ -970,7 +971,7 @@
             } else if outcome == Outcome::Full {
                 self.workers[w].full_until = now + FULL_WAIT;
             }
-            self.load_cap = self.load_cap.clamp(LOAD_CAP.0, LOAD_CAP.1);
+            self.load_cap = self.load_cap.clamp(LOAD_CAP.0, self.most_loads);
         }
         self.retry_held(Some(f), now, out);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -204,6 +204,7 @@
     pub(crate) ordered: VecDeque<Micros>,
     pub(crate) loads_out: u32,
     pub(crate) load_cap: f64,
+    pub(crate) most_loads: f64,
     pub(crate) load_failed: Micros,
     pub(crate) class_service: Vec<f64>,
     pub(crate) tenant_rate: Vec<f64>,
@@ -237,12 +238,14 @@
         settings.max_attempts = settings.max_attempts.wrapping_sub(1).saturating_add(1); // 0: no limit
         let spans = [&mut settings.load_window, &mut settings.fall_window, &mut settings.keep];
         spans.into_iter().for_each(|s| *s = (*s).min(LONGEST));
+        let most_loads = (LOAD_CAP.3 / f64::from(settings.gateways.max(1))).clamp(LOAD_CAP.1, LOAD_CAP.2);
         Controller {
             rng: Some(Pcg32::seed_from_u64(seed)),
             class_service: settings.classes.iter().map(|c| c.aim.min(DEFAULT_SPAN) as f64 / 4.0).collect(),
             tenant_rate: vec![0.0; settings.tenants.len()],
             mean_held: CROWD,
-            load_cap: LOAD_CAP.1 / 2.0,
+            load_cap: most_loads / 2.0,
+            most_loads,
             retries: 5.0,
             questions: QUESTIONS.1,
             set: settings,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -167,7 +167,11 @@
 
 /// How many loads are out at once after twelve that ended like this, by their number and worker.
 fn ordered_at_once(end: impl Fn(u64, &str) -> (Outcome, Micros)) -> usize {
-    let mut rig = Rig::new(settings(), 8);
+    ordered_by_one_of(1, end)
+}
+
+fn ordered_by_one_of(gateways: u32, end: impl Fn(u64, &str) -> (Outcome, Micros)) -> usize {
+    let mut rig = Rig::new(Settings { gateways, ..settings() }, 8);
     for id in 0..12 {
         let mut out = rig.request(id, SAFE, id);
         for w in loads(&out, 0) {
@@ -197,6 +201,13 @@
     assert!(ordered_at_once(|_, _| (Outcome::Ok, 2 * SEC)) < usual);
 }
 
+/// Seen in the simulator: sixteen loads from each of five gateways took all memory, and calls were turned away.
+#[test]
+fn many_gateways_have_fewer_loads_in_flight_each() {
+    let usual = |_: u64, _: &str| (Outcome::Ok, 400 * MS);
+    assert!(ordered_by_one_of(5, usual) + 2 < ordered_by_one_of(2, usual));
+}
+
 /// Seen on sockets: three workers drained, loads waited in line at one that was left, and that lowered the cap
 /// to one load: the new workers stayed empty while a wave of traffic filled the old ones.
 #[test]
@@ -331,13 +342,13 @@
 /// Seen in the simulator: with a handful of gateways ordinary unevenness read as crowding, each time a loss.
 #[test]
 fn few_gateways_do_not_take_unevenness_for_crowding() {
-    let kept = |gateways| {
+    let kept = |gateways, most: f64| {
         let mut rig = Rig::new(Settings { gateways, ..settings() }, 4);
         rig.warm(7, 1, &["w0", "w1", "w2", "w3"]);
         let mut calls = 0;
         for id in 10..210 {
             let worker = sends(&rig.request(id, SAFE, 7)).remove(0);
-            let inflight = Some(if worker == "w0" { 8.0 } else { 4.0 });
+            let inflight = Some(if worker == "w0" { most } else { 4.0 });
             let (attempt, outcome, elapsed, closed) = (0, Outcome::Ok, 50 * MS, true);
             let (warm, crowd) = (Some(true), None);
             rig.feed(Event::Outcome { id, attempt, outcome, elapsed, closed, warm, crowd, inflight });
@@ -347,6 +358,8 @@
         calls
     };
     // An even share would be 50.
-    let (few, many) = (kept(4), kept(200));
+    let (few, many) = (kept(4, 8.0), kept(200, 8.0));
     assert!(few >= 40 && many < 40, "{few} and {many}");
+    let crowded = kept(4, 12.0);
+    assert!(crowded < 40, "{crowded} calls to a worker that holds three times what others do");
 }
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -101,7 +101,7 @@
             client_connections: (sockets - sockets / 8) / 2,
             held_bytes: memory / 4, // an attempt's frame is a second copy, and rings and stacks come on top
             unsent_per_connection: 1024 * 1024,
-            client_ring: 8 * 1024,
+            client_ring: 4 * 1024,
             worker_ring: 64 * 1024,
             first_request: Duration::from_millis(2_000), // whoever says nothing is owed a close within 3 s
             request_read: Duration::from_millis(2_000),
