--- a/src/control.rs
+++ b/src/control.rs
@@ -69,7 +69,7 @@
 const QUEUED: f64 = 2.0; // most that the time of those to come is taken for, as a multiple of it
 const HELD_PART: f64 = 0.45; // part of its life that a request waits with no attempt made
 const TURNED_AWAY: usize = 3; // attempts that never ran after which nobody is asked again
-const UNPROVEN_ERRORS: u32 = 2; // errors after which a call of a function never served here ends
+const UNPROVEN_ERRORS: u32 = 2; // errors after which calls of a function never served here end
 const RETRY_SHARE: f64 = 0.15; // further attempts earned by a request: bounds what they add to overload
 
 impl Controller {
@@ -90,7 +90,7 @@
             Event::Request { id, .. } if self.requests.contains_key(&id) => {}
             Event::Request { .. } => self.request(now, event, out),
             Event::Outcome { .. } => self.outcome(now, event, out),
-            Event::Withdrawn { id } => self.close(id, out),
+            Event::Withdrawn { id } => self.withdrawn(id, out),
             Event::Timer { token: 0 } => {
                 self.tick(now, out);
                 let delay = if self.requests.is_empty() { SURVEY } else { TICK };
@@ -254,16 +254,16 @@
         for c in self.functions[f].at.values_mut().filter(|c| c.count > 0) {
             c.expires = c.expires.max(c.seen + life);
         }
-        self.taken.push_back(now);
+        // Guards the ration: calls of what no worker knows earn none, as only calls of usual clients count.
+        self.functions[f].proven.then(|| self.taken.push_back(now));
         self.retries = (self.retries + RETRY_SHARE).min(20.0);
         self.questions = (self.questions + QUESTIONS.0).min(QUESTIONS.1);
         let left = left.min(LONGEST);
         let ends = now + left.saturating_sub(END_MARGIN);
         let tenant = tenant.filter(|&t| t < self.tenant_rate.len());
         tenant.into_iter().for_each(|t| self.tenant_rate[t] += 1.0);
-        let (lost, done, errors, attempts) = (false, false, 0, Vec::new());
-        let r =
-            Request { function: f, class, tenant, arrived: now, ends, retry, lost, done, errors, attempts };
+        let (function, arrived, lost, done, errors, attempts) = (f, now, false, false, 0, Vec::new());
+        let r = Request { function, class, tenant, arrived, ends, retry, lost, done, errors, attempts };
         self.requests.insert(id, r);
         let service = self.functions[f].service;
         if left <= END_MARGIN || self.overloaded(class, tenant, left as f64, service) {
@@ -403,10 +403,10 @@
         }
         // Guards against holding a request back until nobody can use its answer: with no attempt made by
         // then, a refusal while the client has time to try again is worth more than a place in the queue.
-        let r = &self.requests[&id];
-        if r.attempts.is_empty()
-            && now.saturating_sub(r.arrived) as f64 > HELD_PART * (r.ends - r.arrived) as f64
-        {
+        // Also workers and the ration against calls of what no worker knows: orders to load it fail at once.
+        let (r, g) = (&self.requests[&id], &self.functions[f]);
+        let old = now.saturating_sub(r.arrived) as f64 > HELD_PART * (r.ends - r.arrived) as f64;
+        if old && r.attempts.is_empty() || g.errors.0 >= UNPROVEN_ERRORS && now < g.errors.1 + ASK_AGAIN {
             return self.finish(id, out);
         }
         if !self.functions[f].held.contains(&id) {
@@ -913,15 +913,12 @@
         }
     }
 
-    /// The answer to a hold or a question. Guards the shared store: loads slow everywhere, or failing one
-    /// after another, lower our cap on
-    /// loads in flight; good ones raise it slowly.
+    /// The answer to a hold or a question. Guards the shared store: loads slow everywhere, or failing twice in
+    /// a short time, lower our cap on loads in flight; good ones raise it slowly.
     fn loaded(
         &mut self, now: Micros, w: usize, f: usize, reply: (u32, Outcome, Micros), out: &mut Vec<Action>,
     ) {
-        let (count, outcome, elapsed) = reply;
-        let keep = self.belief(f);
-        let until = now + keep;
+        let (keep, (count, outcome, elapsed)) = (self.belief(f), reply);
         let Some(c) = self.functions[f].at.get_mut(&w) else { return };
         let Some(order) = c.order.take() else { return };
         let (Order::Ask(since) | Order::Hold(since)) = order;
@@ -934,7 +931,7 @@
             Outcome::Ok | Outcome::Full | Outcome::Error if ready && !old => {
                 c.count = count;
                 // A question does not restart the idle time: what it finds may be about to lapse.
-                let sure = if matches!(order, Order::Hold(_)) { until } else { now + keep / 2 };
+                let sure = now + if matches!(order, Order::Hold(_)) { keep } else { keep / 2 };
                 c.seen = sure.saturating_sub(keep);
                 c.expires = if count > 0 { c.expires.max(sure) } else { 0 };
                 self.workers[w].revive(SLOW);
@@ -943,6 +940,9 @@
             Outcome::Reset => self.doubt(w, now),
             _ => {}
         }
+        // Of what was never served here an error tells neither of the store nor of the worker.
+        let unknown = outcome == Outcome::Error && !self.functions[f].proven;
+        self.functions[f].erred(unknown, now);
         emptied.then(|| self.void(w));
         if let Order::Hold(_) = order {
             self.loads_out -= 1;
@@ -963,7 +963,7 @@
                 }
                 let function = &mut self.functions[f];
                 function.load_time = if slow { usual } else { usual + ALPHA * (took - usual) };
-            } else if matches!(outcome, Outcome::Error | Outcome::Timeout) {
+            } else if matches!(outcome, Outcome::Error | Outcome::Timeout) && !unknown {
                 // One in a hundred fails by chance: a second one soon after tells of the store.
                 if now < self.load_failed + PACE_KEPT {
                     self.load_cap /= 2.0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -41,6 +41,8 @@
     pub(crate) last_call: Micros,
     pub(crate) last_lost: Micros,
     pub(crate) proven: bool,
+    /// Orders and questions about it, never served here, that ended in errors one after another, and when last.
+    pub(crate) errors: (u32, Micros),
     /// The last firing, its distance from the one before, and whether the next is expected at the same: 1, or 2
     /// where it came so before.
     pub(crate) fired: Micros,
@@ -63,6 +65,11 @@
         }
         self.fired = now;
     }
+
+    /// An order or a question came back; `unknown` if a worker may not know the function at all.
+    pub(crate) fn erred(&mut self, unknown: bool, now: Micros) {
+        self.errors = if unknown { (self.errors.0 + 1, now) } else { (0, 0) };
+    }
 }
 
 /// A listed worker: our attempts out by age, its last report, and how it has done of late.
@@ -426,6 +433,15 @@
         self.functions[f].places.clone()
     }
 
+    /// A client took a request back. It earns no load either: some clients do that to hundreds at once.
+    pub(crate) fn withdrawn(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let arrived = self.requests.get(&id).map(|r| r.arrived);
+        if let Some(at) = self.taken.iter().rposition(|&t| Some(t) == arrived) {
+            self.taken.remove(at);
+        }
+        self.close(id, out);
+    }
+
     /// Ends a request's record, or leaves it until its attempts have ended; those still out are called off.
     pub(crate) fn close(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id) else { return };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -388,3 +388,66 @@
     let (early, late) = (calls_to_w0(10 * MS), calls_to_w0(900 * MS));
     assert!(late * 3 < early * 2, "{early} where calls were given up early, {late} where late");
 }
+
+/// Seen on sockets: clients called functions that no worker knows. Each order to load one failed at once and was
+/// given again, some hundred times over: the ration was spent, and the cap on loads fell to one for everybody.
+#[test]
+fn a_function_that_no_worker_knows_costs_no_loads() {
+    let (load_window, load_free, load_share) = (5 * SEC, 4.0, 0.15);
+    let mut rig = Rig::new(Settings { load_window, load_free, load_share, ..settings() }, 4);
+    let mut orders = 0;
+    for stranger in 100..105 {
+        let asked = loads(&rig.request(stranger, SAFE, stranger), 0);
+        let mut out: Vec<Action> =
+            asked.iter().flat_map(|w| rig.loaded(w, stranger, 0, Outcome::Error)).collect();
+        assert!(out.contains(&Action::Refuse { id: stranger, retry_after: SEC / 2 }), "{out:?}");
+        while let Some(worker) = loads(&std::mem::take(&mut out), 1).pop() {
+            (out, orders) = (rig.loaded(&worker, stranger, 0, Outcome::Error), orders + 1);
+        }
+        rig.pass(100 * MS);
+    }
+    assert_eq!(orders, 0);
+    // Four functions that workers know are all loaded at once.
+    let known = |function| {
+        let asked = loads(&rig.request(function, SAFE, function), 0);
+        asked.iter().flat_map(|w| loads(&rig.loaded(w, function, 0, Outcome::Ok), 1)).count()
+    };
+    assert_eq!((1..5).map(known).sum::<usize>(), 4);
+}
+
+/// Seen on sockets: hundreds of calls of strangers, or taken back at once, earned loads that the rule on loads
+/// does not grant: only calls of usual clients count there.
+#[test]
+fn calls_of_strangers_or_taken_back_earn_no_loads() {
+    let ordered = |calls: fn(&mut Rig)| {
+        let (load_window, load_free, load_share) = (5 * SEC, 1.0, 0.1);
+        let mut rig = Rig::new(Settings { load_window, load_free, load_share, ..settings() }, 4);
+        rig.warm(7, 1, &["w0"]);
+        calls(&mut rig);
+        let load = |function| {
+            let asked = loads(&rig.request(function, SAFE, function), 0);
+            asked.iter().flat_map(|w| loads(&rig.loaded(w, function, 0, Outcome::Ok), 1)).count()
+        };
+        (500..504).map(load).sum::<usize>()
+    };
+    let served = |rig: &mut Rig| {
+        for id in 10..50 {
+            rig.request(id, SAFE, 7);
+            rig.outcome(id, 0, Outcome::Ok, 50 * MS);
+        }
+    };
+    let taken_back = |rig: &mut Rig| {
+        for id in 10..50 {
+            rig.request(id, SAFE, 7);
+            rig.feed(Event::Withdrawn { id });
+            rig.outcome(id, 0, Outcome::Cancelled, MS);
+        }
+    };
+    let strange = |rig: &mut Rig| {
+        for id in 10..50 {
+            let asked = loads(&rig.request(id, SAFE, id), 0);
+            asked.iter().for_each(|w| drop(rig.loaded(w, id, 0, Outcome::Error)));
+        }
+    };
+    assert_eq!((ordered(served), ordered(taken_back), ordered(strange)), (4, 1, 1));
+}
