--- a/src/control.rs
+++ b/src/control.rs
@@ -913,8 +913,8 @@
         }
     }
 
-    /// The answer to a hold or a question. Guards the shared store: loads slow everywhere, or failing twice in
-    /// a short time, lower our cap on loads in flight; good ones raise it slowly.
+    /// The answer to a hold or a question. Guards the shared store: loads slow everywhere, or two that fail
+    /// within a short time, lower our cap on loads in flight; good ones raise it slowly.
     fn loaded(
         &mut self, now: Micros, w: usize, f: usize, reply: (u32, Outcome, Micros), out: &mut Vec<Action>,
     ) {
