--- a/src/control.rs
+++ b/src/control.rs
@@ -45,8 +45,9 @@
 const HEALTH_FADE: f64 = 6.0 * SEC as f64; // without news health returns to 1 with this time constant
 const SILENT: f64 = 9.0; // an attempt out for this multiple of its expected time with nothing heard
 /// Where two copies may run at once and a connection broke or was spoilt within this time, answers get lost
-/// as well: an attempt then gets a second one after this multiple of its expected time, and part of its aim.
-const HEDGE: (Micros, f64, f64) = (5 * SEC, 4.0, 0.5);
+/// as well; where answers take less than this part of the aims there is room: an attempt then gets a second
+/// one after this multiple of its expected time, and part of its aim.
+const HEDGE: (Micros, f64, f64, f64) = (5 * SEC, 0.2, 4.0, 0.5);
 const TRIAL_GAP: Micros = SEC; // trial calls and questions to a suspect keep this distance
 const COLD_MARGIN: f64 = 0.7; // part of a cold worker's budget that is used: chance and misjudgement
 /// Crowded: this multiple of the mean held, and this many more. Few gateways see most of what a worker holds
@@ -296,7 +297,7 @@
         let worse = (0..told.len()).filter(|&c| density(c) < density(class) / 1.2).count();
         let rank = worse as f64 / (told.len() as f64 - 1.0).max(1.0);
         let bound = if over { REFUSE.0 } else { REFUSE.1 + (REFUSE.2 - REFUSE.1) * rank };
-        doomed || wait > bound * told.iter().map(|c| c.aim as f64).sum::<f64>() / told.len().max(1) as f64
+        doomed || wait > bound * self.mean_aim()
     }
 
     /// Whether a tenant has more of our traffic than its part of the shares, by more than chance would give:
@@ -675,7 +676,7 @@
     /// forbidden (it is called off first, and placed again when that is confirmed).
     fn second_attempts(&mut self, now: Micros, out: &mut Vec<Action>) {
         let lossy = self.last_reset > 0 && now < self.last_reset + HEDGE.0;
-        let hedge = self.set.second_copies && lossy;
+        let hedge = self.set.second_copies && (lossy || self.answer_time < HEDGE.1 * self.mean_aim());
         let overdue = |(&id, r): (&RequestId, &Request)| {
             let a = r.attempts.last().filter(|a| a.open && !r.done && !a.called_off)?;
             let only = r.attempts.iter().filter(|a| a.open).count() == 1;
@@ -683,7 +684,7 @@
             let aim = self.set.classes[r.class].aim as f64;
             let patience = match () {
                 () if worker.dead || worker.slow => 1.5 * a.expected,
-                () if hedge => (HEDGE.1 * a.expected).max(HEDGE.2 * aim),
+                () if hedge => (HEDGE.2 * a.expected).max(HEDGE.3 * aim),
                 () => f64::INFINITY,
             };
             let waited = now.saturating_sub(a.sent.max(self.woke)) as f64;
@@ -700,8 +701,7 @@
                 continue;
             }
             if self.set.second_copies {
-                let w = self.pick(&free).unwrap_or(free[0]);
-                self.send(now, id, w, out);
+                self.pick(&free).into_iter().for_each(|w| self.send(now, id, w, out));
             } else if let Some(r) = self.requests.get_mut(&id).filter(|_| self.set.may_cancel) {
                 let attempt = r.attempts.len() - 1;
                 r.attempts[attempt].called_off = true;
--- a/src/state.rs
+++ b/src/state.rs
@@ -308,6 +308,12 @@
         }
     }
 
+    /// The mean aim of the classes told, in microseconds.
+    pub(crate) fn mean_aim(&self) -> f64 {
+        let told = &self.set.classes[..self.set.classes.len() - 1];
+        told.iter().map(|c| c.aim as f64).sum::<f64>() / told.len().max(1) as f64
+    }
+
     pub(crate) fn random(&mut self) -> u64 {
         self.rng.as_mut().map_or(0, |r| u64::from(r.next_u32()))
     }
