--- a/src/control.rs
+++ b/src/control.rs
@@ -51,9 +51,9 @@
 const TRIAL_GAP: Micros = SEC; // trial calls and questions to a suspect keep this distance
 const COLD_MARGIN: f64 = 0.7; // part of a cold worker's budget that is used: chance and misjudgement
 /// Crowded: this multiple of the mean held, and this many more. Few gateways see most of what a worker holds
-/// themselves: there a tight bound made losses, and so loads, of ordinary unevenness.
+/// themselves: there whoever holds more than the mean is passed over, as calls in line come late.
 const CROWDED: (f64, f64) = (1.25, 0.75);
-const CROWDED_FEW: (f64, f64) = (1.5, 1.0);
+const CROWDED_FEW: (f64, f64) = (1.0, 0.25);
 const FEW: u32 = 16; // gateways
 const REPORT_FADE: (f64, f64) = (2.0 * SEC as f64, 15.0 * SEC as f64); // our calls come round in it
 const REPORT_KEPT: Micros = 20 * SEC; // the mean held takes in last reports so long: few calls, many workers
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -343,9 +343,9 @@
     assert!(rig.pass(280 * MS).iter().any(|a| matches!(a, Action::Refuse { id: 1, .. })));
 }
 
-/// Seen in the simulator: with a handful of gateways ordinary unevenness read as crowding, each time a loss.
+/// Seen on sockets: with a handful of gateways, calls queued at workers that held half as much again as others.
 #[test]
-fn few_gateways_do_not_take_unevenness_for_crowding() {
+fn few_gateways_pass_over_a_worker_that_holds_more_than_the_mean() {
     let kept = |gateways, most: f64| {
         let mut rig = Rig::new(Settings { gateways, ..settings() }, 4);
         rig.warm(7, 1, &["w0", "w1", "w2", "w3"]);
@@ -362,10 +362,8 @@
         calls
     };
     // An even share would be 50.
-    let (few, many) = (kept(4, 8.0), kept(200, 8.0));
-    assert!(few >= 40 && many < 40, "{few} and {many}");
-    let crowded = kept(4, 12.0);
-    assert!(crowded < 40, "{crowded} calls to a worker that holds three times what others do");
+    let (few, many, even) = (kept(4, 5.5), kept(200, 5.5), kept(4, 4.0));
+    assert!(few < 40 && many >= 40 && even >= 40, "{few}, {many} and {even}");
 }
 
 /// Seen on sockets: one in four answers of some workers never came. Such calls were given up in the end and told
