--- a/src/control.rs
+++ b/src/control.rs
@@ -41,7 +41,7 @@
 const STOOD_STILL: Micros = 2 * SURVEY; // no event for longer, timers included: this gateway stood still
 const ALPHA: f64 = 0.1; // weight of a new sample in running means: about the last ten count
 const BAD: f64 = 5.0; // health sample of a failed attempt, and the most one slow answer counts
-const SLOW: f64 = 2.5; // slow at this multiple of the median's figure: past the spread of kinds
+const SLOW: f64 = 3.5; // slow at this multiple of the median's figure: past kinds, and a few lost answers
 const HEALTH_FADE: f64 = 6.0 * SEC as f64; // without news health returns to 1 with this time constant
 const SILENT: f64 = 9.0; // an attempt out for this multiple of its expected time with nothing heard
 /// Where two copies may run at once and a connection broke or was spoilt within this time, answers get lost
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -471,3 +471,28 @@
     assert_eq!((sent_after(100 * MS, 460 * MS), sent_after(100 * MS, 600 * MS)), (0, 1));
     assert_eq!(sent_after(300 * MS, 2 * SEC), 0);
 }
+
+/// Seen on sockets: three of six workers lost one answer in four. Taken for slow for it, they got hardly a call, and
+/// the other three queued: a worker that does most of its work is worth more than none.
+#[test]
+fn a_worker_that_loses_one_answer_in_three_works_while_others_are_busy() {
+    let mut rig = Rig::new(settings(), 3);
+    rig.warm(7, 1, &["w0", "w1", "w2"]);
+    let mut calls = 0;
+    for round in 0..200 {
+        // Three at once, as many as there are lanes.
+        let ids = 10 + 3 * round..13 + 3 * round;
+        let at: Vec<String> = ids.clone().flat_map(|id| sends(&rig.request(id, SAFE, 7))).collect();
+        for (id, worker) in ids.zip(at) {
+            calls += usize::from(worker == "w0");
+            if worker == "w0" && calls % 3 == 0 {
+                rig.feed(Event::Withdrawn { id });
+                rig.outcome(id, 0, Outcome::Cancelled, 900 * MS);
+            } else {
+                rig.outcome(id, 0, Outcome::Ok, 50 * MS);
+            }
+        }
+        rig.pass(60 * MS);
+    }
+    assert!(calls > 150, "{calls} calls to it in 200 rounds");
+}
