--- /dev/null
+++ b/wrenseam/src/fleet/swim.rs
@@ -0,0 +1,432 @@
+//! Membership between front ends by SWIM, on the `foca` crate, without I/O: datagrams come in as bytes
+//! with the time, and what is to be sent, and when to be woken, is collected for the caller. Load summaries
+//! ride on foca's messages as custom broadcasts, so each front end sends a bounded number of datagrams a
+//! period however large the fleet, and a summary reaches all in about `log N` periods.
+use super::summary::{Offered, Summaries, Summary, SummaryError};
+use bramblepath::Micros;
+use foca::{BroadcastHandler, Config, Foca, Invalidates, Notification, PostcardCodec, Runtime, Timer};
+use rand::{rngs::SmallRng, SeedableRng};
+use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::num::{NonZeroU32, NonZeroUsize};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// The largest datagram sent or taken, in bytes.
+pub const MAX_DATAGRAM: usize = 1400;
+const HEADER: usize = 7;
+const MAGIC: [u8; 2] = *b"wF";
+const VERSION: u8 = 1;
+
+/// A front end in the fleet: its gossip address, and which life of the process at that address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PeerId {
+    /// Where its gossip socket is bound.
+    pub addr: SocketAddr,
+    /// Larger with each start, and with each rejoin after it was declared down.
+    pub life: u64,
+}
+
+impl foca::Identity for PeerId {
+    type Addr = SocketAddr;
+
+    fn renew(&self) -> Option<Self> {
+        Some(PeerId { addr: self.addr, life: self.life.wrapping_add(1) })
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    fn win_addr_conflict(&self, adversary: &Self) -> bool {
+        self.life > adversary.life
+    }
+}
+
+/// The settings of membership, in microseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct SwimSettings {
+    /// A name shared by the fleet: datagrams of another are dropped.
+    pub cluster: u32,
+    /// How often a random peer is probed.
+    pub probe: Micros,
+    /// After how long a suspect is declared down.
+    pub suspect_for: Micros,
+    /// The fleet's expected size, for how often news is passed on.
+    pub expected: usize,
+    /// How long a summary counts after it came.
+    pub fresh_for: Micros,
+    /// Peers of which summaries are held at the most.
+    pub capacity: usize,
+}
+
+/// Datagrams dropped, by cause.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Dropped {
+    /// Larger than [`MAX_DATAGRAM`].
+    pub oversized: u64,
+    /// Of another cluster or version, or without our header.
+    pub foreign: u64,
+    /// With our header, but foca (or a summary in it) could not read or take it.
+    pub garbled: u64,
+}
+
+/// A change of membership, as foca told it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerEvent {
+    /// A peer is counted alive.
+    Up(PeerId),
+    /// A peer was declared down.
+    Down(PeerId),
+    /// This front end lost all its peers.
+    Alone,
+    /// This front end was declared down by the others and came back under a new life.
+    Rejoined,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct SummaryKey {
+    origin: SocketAddr,
+    seq: u64,
+}
+
+impl Invalidates for SummaryKey {
+    fn invalidates(&self, other: &Self) -> bool {
+        self.origin == other.origin && self.seq >= other.seq
+    }
+}
+
+/// The handler of custom broadcasts: takes summaries into the shared table.
+struct Gossiped {
+    own: SocketAddr,
+    held: Arc<Mutex<(Summaries, Micros)>>,
+}
+
+impl BroadcastHandler<PeerId> for Gossiped {
+    type Key = SummaryKey;
+    type Error = SummaryError;
+
+    fn receive_item(
+        &mut self, data: &[u8], _sender: Option<&PeerId>,
+    ) -> Result<Option<SummaryKey>, SummaryError> {
+        let s = Summary::decode(data)?;
+        let Some(origin) = s.origin else { return Ok(None) };
+        let key = SummaryKey { origin, seq: s.seq };
+        if origin == self.own {
+            return Ok(Some(key)); // our own, added to be sent on
+        }
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = held.1;
+        Ok((held.0.offer(now, self.own, s) == Offered::Newer).then_some(key))
+    }
+}
+
+/// What foca asks of the world, collected.
+#[derive(Default)]
+struct Outside {
+    now: Micros,
+    seq: u64,
+    out: Vec<(SocketAddr, Vec<u8>)>,
+    timers: BinaryHeap<Reverse<(Micros, u64, TimerSlot)>>,
+    events: Vec<(Micros, PeerEvent)>,
+    header: [u8; HEADER],
+}
+
+/// A timer with an order, so that the heap can hold it.
+#[derive(Debug, PartialEq, Eq)]
+struct TimerSlot(Timer<PeerId>);
+
+impl PartialOrd for TimerSlot {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for TimerSlot {
+    fn cmp(&self, _: &Self) -> std::cmp::Ordering {
+        std::cmp::Ordering::Equal // the sequence number before it decides
+    }
+}
+
+impl Runtime<PeerId> for Outside {
+    fn notify(&mut self, n: Notification<'_, PeerId>) {
+        let event = match n {
+            Notification::MemberUp(id) => PeerEvent::Up(*id),
+            Notification::MemberDown(id) => PeerEvent::Down(*id),
+            Notification::Idle => PeerEvent::Alone,
+            Notification::Rejoin(_) => PeerEvent::Rejoined,
+            _ => return,
+        };
+        self.events.push((self.now, event));
+    }
+
+    fn send_to(&mut self, to: PeerId, data: &[u8]) {
+        let mut bytes = Vec::with_capacity(HEADER + data.len());
+        bytes.extend_from_slice(&self.header);
+        bytes.extend_from_slice(data);
+        self.out.push((to.addr, bytes));
+    }
+
+    fn submit_after(&mut self, event: Timer<PeerId>, after: Duration) {
+        self.seq += 1;
+        let due = self.now.saturating_add(after.as_micros() as Micros);
+        self.timers.push(Reverse((due, self.seq, TimerSlot(event))));
+    }
+}
+
+/// One front end's membership and the summaries it holds.
+pub struct Swim {
+    foca: Foca<PeerId, PostcardCodec, SmallRng, Gossiped>,
+    outside: Outside,
+    held: Arc<Mutex<(Summaries, Micros)>>,
+    own: PeerId,
+    /// Datagrams dropped, by cause.
+    pub dropped: Dropped,
+    /// Summaries published by this front end.
+    published: u64,
+}
+
+impl Swim {
+    /// Membership for the front end at `own`, in its `life`, with a seeded generator.
+    pub fn new(own: SocketAddr, life: u64, settings: SwimSettings, seed: u64) -> Swim {
+        let size = NonZeroU32::new(settings.expected.clamp(1, 100_000) as u32).unwrap_or(NonZeroU32::MIN);
+        let mut config = Config::new_lan(size);
+        let probe = Duration::from_micros(settings.probe.max(10_000));
+        config.probe_period = probe;
+        config.probe_rtt = probe / 2;
+        config.suspect_to_down_after = Duration::from_micros(settings.suspect_for.max(settings.probe));
+        config.max_packet_size = NonZeroUsize::new(MAX_DATAGRAM - HEADER).unwrap_or(NonZeroUsize::MIN);
+        config.remove_down_after = Some(Duration::from_secs(60));
+        if let Some(g) = config.periodic_gossip.as_mut() {
+            g.frequency = probe / 4;
+        }
+        if let Some(a) = config.periodic_announce.as_mut() {
+            a.frequency = probe * 5;
+        }
+        if let Some(a) = config.periodic_announce_to_down_members.as_mut() {
+            a.frequency = probe * 5;
+        }
+        let held = Arc::new(Mutex::new((Summaries::new(settings.capacity, settings.fresh_for), 0)));
+        let handler = Gossiped { own, held: held.clone() };
+        let id = PeerId { addr: own, life };
+        let rng = SmallRng::seed_from_u64(seed);
+        let foca = Foca::with_custom_broadcast(id, config, rng, PostcardCodec, handler);
+        let mut outside = Outside::default();
+        outside.header[..2].copy_from_slice(&MAGIC);
+        outside.header[2] = VERSION;
+        outside.header[3..].copy_from_slice(&settings.cluster.to_be_bytes());
+        Swim { foca, outside, held, own: id, dropped: Dropped::default(), published: 0 }
+    }
+
+    fn at(&mut self, now: Micros) {
+        self.outside.now = now;
+        self.held.lock().unwrap_or_else(PoisonError::into_inner).1 = now;
+    }
+
+    /// Asks to join by way of a peer at `seed`.
+    pub fn join(&mut self, now: Micros, seed: SocketAddr) {
+        self.at(now);
+        if seed != self.own.addr {
+            // An error here is foca's word that the seed is ourselves: nothing to do.
+            let _ = self.foca.announce(PeerId { addr: seed, life: 0 }, &mut self.outside);
+        }
+    }
+
+    /// Takes a datagram that came at `now`; what cannot be taken is counted in [`Swim::dropped`].
+    pub fn datagram(&mut self, now: Micros, bytes: &[u8]) {
+        self.at(now);
+        if bytes.len() > MAX_DATAGRAM {
+            self.dropped.oversized += 1;
+        } else if bytes.len() < HEADER || bytes[..HEADER] != self.outside.header {
+            self.dropped.foreign += 1;
+        } else if self.foca.handle_data(&bytes[HEADER..], &mut self.outside).is_err() {
+            self.dropped.garbled += 1;
+        }
+    }
+
+    /// When foca wants to be woken next, if at all.
+    pub fn next(&self) -> Option<Micros> {
+        self.outside.timers.peek().map(|Reverse((due, _, _))| *due)
+    }
+
+    /// Runs the timers due at `now`.
+    pub fn tick(&mut self, now: Micros) {
+        self.at(now);
+        while self.next().is_some_and(|due| due <= now) {
+            let Some(Reverse((_, _, TimerSlot(timer)))) = self.outside.timers.pop() else { break };
+            let _ = self.foca.handle_timer(timer, &mut self.outside); // a stale timer is foca's to drop
+        }
+    }
+
+    /// Hands this front end's summary to be gossiped, with the next sequence number.
+    pub fn publish(&mut self, now: Micros, mut summary: Summary) {
+        self.at(now);
+        self.published += 1;
+        summary.origin = Some(self.own.addr);
+        summary.seq = self.published;
+        let _ = self.foca.add_broadcast(&summary.encode()); // only ever our own well-formed bytes
+    }
+
+    /// Datagrams to send, with their addresses.
+    pub fn outbox(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
+        std::mem::take(&mut self.outside.out)
+    }
+
+    /// Changes of membership since the last call, with when they were noticed.
+    pub fn events(&mut self) -> Vec<(Micros, PeerEvent)> {
+        let events = std::mem::take(&mut self.outside.events);
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        for (_, e) in &events {
+            if let PeerEvent::Down(id) = e {
+                held.0.forget(id.addr);
+            }
+        }
+        events
+    }
+
+    /// Peers counted alive.
+    pub fn alive(&self) -> usize {
+        self.foca.iter_members().count()
+    }
+
+    /// The fleet's pressure in thousandths (see [`Summaries::pressure`]), with ours at `own`.
+    pub fn pressure(&self, now: Micros, own: u32) -> u32 {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner).0.pressure(now, own)
+    }
+
+    /// Fresh summaries of peers.
+    pub fn summaries(&self, now: Micros) -> Vec<Summary> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner).0.fresh(now).copied().collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::RngExt;
+    use rstest::rstest;
+
+    const MS: Micros = 1000;
+
+    fn settings() -> SwimSettings {
+        SwimSettings {
+            cluster: 7,
+            probe: 100 * MS,
+            suspect_for: 300 * MS,
+            expected: 5,
+            fresh_for: 1000 * MS,
+            capacity: 64,
+        }
+    }
+
+    fn addr(n: usize) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], 7000 + n as u16))
+    }
+
+    /// A fleet on a network of chance: `loss` of datagrams lost, `dup` repeated, all delayed 1 to 20 ms
+    /// (and so reordered). `dead` front ends stop at `dead_at`.
+    struct Net {
+        swims: Vec<Swim>,
+        flight: Vec<(Micros, usize, Vec<u8>)>,
+        rng: SmallRng,
+        loss: f64,
+        dup: f64,
+        dead: Vec<usize>,
+        dead_at: Micros,
+    }
+
+    impl Net {
+        fn new(n: usize, loss: f64, dup: f64, seed: u64) -> Net {
+            let mut swims: Vec<Swim> =
+                (0..n).map(|i| Swim::new(addr(i), 1, settings(), seed + i as u64)).collect();
+            (1..n).for_each(|i| swims[i].join(0, addr(0)));
+            let rng = SmallRng::seed_from_u64(seed);
+            Net { swims, flight: Vec::new(), rng, loss, dup, dead: Vec::new(), dead_at: Micros::MAX }
+        }
+
+        fn run(&mut self, until: Micros) -> Vec<(Micros, usize, PeerEvent)> {
+            let mut seen = Vec::new();
+            let mut now = 0;
+            while now < until {
+                now += MS;
+                for i in 0..self.swims.len() {
+                    let gone = self.dead.contains(&i) && now >= self.dead_at;
+                    if gone {
+                        self.swims[i].outbox();
+                        continue;
+                    }
+                    if now % (200 * MS) == 0 {
+                        let s = Summary { pressure: 1000 + i as u32, ..Summary::default() };
+                        self.swims[i].publish(now, s);
+                    }
+                    self.swims[i].tick(now);
+                    for (to, bytes) in self.swims[i].outbox() {
+                        let to = (to.port() - 7000) as usize;
+                        let copies = if self.rng.random::<f64>() < self.dup { 2 } else { 1 };
+                        for _ in 0..copies {
+                            if self.rng.random::<f64>() >= self.loss {
+                                let at = now + self.rng.random_range(1..20) * MS;
+                                self.flight.push((at, to, bytes.clone()));
+                            }
+                        }
+                    }
+                    seen.extend(self.swims[i].events().into_iter().map(|(at, e)| (at, i, e)));
+                }
+                let (due, later): (Vec<_>, Vec<_>) = self.flight.drain(..).partition(|f| f.0 <= now);
+                self.flight = later;
+                for (_, to, bytes) in due {
+                    if !(self.dead.contains(&to) && now >= self.dead_at) {
+                        self.swims[to].datagram(now, &bytes);
+                    }
+                }
+            }
+            seen
+        }
+    }
+
+    #[rstest]
+    #[case::clean(0.0, 0.0)]
+    #[case::lossy_and_repeated(0.1, 0.2)]
+    fn all_find_all_and_hear_their_summaries(#[case] loss: f64, #[case] dup: f64) {
+        let mut net = Net::new(5, loss, dup, 11);
+        net.run(3000 * MS);
+        for (i, s) in net.swims.iter().enumerate() {
+            assert_eq!(s.alive(), 4, "front end {i}");
+            assert_eq!(s.summaries(3000 * MS).len(), 4, "front end {i}");
+            // Pressures 1000 to 1004, all heard: their mean.
+            assert_eq!(s.pressure(3000 * MS, 1000 + i as u32), 1002, "front end {i}");
+        }
+    }
+
+    #[test]
+    fn a_dead_peer_is_declared_down_within_the_bound() {
+        let mut net = Net::new(5, 0.0, 0.0, 3);
+        net.dead = vec![4];
+        net.dead_at = 2000 * MS;
+        let seen = net.run(4000 * MS);
+        for i in 0..4 {
+            let down = seen
+                .iter()
+                .find(|(_, at, e)| *at == i && *e == PeerEvent::Down(PeerId { addr: addr(4), life: 1 }));
+            let (when, _, _) = down.unwrap_or_else(|| panic!("front end {i} never noticed: {seen:?}"));
+            // Probe period, round trip and suspicion, and the news spread to all: well under a second here.
+            assert!(*when - 2000 * MS < 1000 * MS, "front end {i} at {when}");
+            assert_eq!(net.swims[i].alive(), 3);
+        }
+    }
+
+    #[rstest]
+    #[case::empty(vec![])]
+    #[case::other_cluster({ let mut b = vec![b'w', b'F', 1, 0, 0, 0, 8]; b.extend([1; 40]); b })]
+    #[case::garbled({ let mut b = vec![b'w', b'F', 1, 0, 0, 0, 7]; b.extend([0xff; 40]); b })]
+    #[case::oversized(vec![0; MAX_DATAGRAM + 1])]
+    fn bad_datagrams_are_counted_and_dropped(#[case] bytes: Vec<u8>) {
+        let mut s = Swim::new(addr(0), 1, settings(), 1);
+        s.datagram(0, &bytes);
+        let d = s.dropped;
+        assert_eq!(d.oversized + d.foreign + d.garbled, 1, "{d:?}");
+        assert_eq!(s.alive(), 0);
+    }
+}
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cli;
 pub mod config;
 pub mod core;
+pub mod fleet;
 pub mod front;
 pub mod http;
 pub mod limits;
