Fleet on in the hosted settings: gossip on UDP, retry budget and shedding in the core

Change: gossip.rs binds one UDP socket, runs foca's membership on a coroutine, publishes the core's summary each probe period and tells the core the peers alive and the fleet's pressure. The core (core/fleet.rs) refuses at arrival what shedding picks, at once with its wait, and makes an extra attempt that the retry budget refuses moot, as one to a worker that is not; max-attempts still bounds them. Telemetry gains app.fleet.* lines.

--- /dev/null
+++ b/wrenseam/src/core/fleet.rs
@@ -0,0 +1,105 @@
+//! The fleet's bounds as the core applies them: shedding at arrival, the retry budget at each extra attempt.
+//! The decisions are `crate::fleet`'s; this keeps their state in the core and counts for the summary.
+use crate::config::Fleet;
+use crate::fleet::{FleetSize, RetryBudget, Shedder, Summary};
+use bramblepath::{Micros, Settings};
+use rand::{rngs::SmallRng, RngExt, SeedableRng};
+use std::fmt::Write;
+
+/// How long a larger fleet is remembered once peers are no longer heard (µs).
+const SIZE_HOLD: Micros = 60_000_000;
+
+/// The fleet's bounds in one core.
+pub struct Gate {
+    budget: RetryBudget,
+    size: FleetSize,
+    shed: Shedder,
+    rng: SmallRng,
+    wait: Micros,
+    capacity: u32,
+    alive: usize,
+    pressure: u32,
+    shed_total: u64,
+    denied_total: u64,
+    extras_total: u64,
+}
+
+impl Gate {
+    /// Bounds from the fleet's file, classes named as the settings name them (unknown names are left out).
+    pub fn new(fleet: &Fleet, settings: &Settings, seed: u64) -> Gate {
+        let window = fleet.window_ms * 1000;
+        let order: Vec<usize> = fleet
+            .shed_order
+            .iter()
+            .filter_map(|n| settings.classes.iter().position(|c| &c.name == n))
+            .collect();
+        Gate {
+            budget: RetryBudget::new(fleet.retry_ratio, fleet.retry_floor_per_s, window),
+            size: FleetSize::new(fleet.expected, SIZE_HOLD),
+            shed: Shedder::new(&order, settings.classes.len(), window),
+            rng: SmallRng::seed_from_u64(seed ^ 0x5eed_f1ee),
+            wait: fleet.shed_wait_ms * 1000,
+            capacity: fleet.capacity.max(1),
+            alive: 0,
+            pressure: 0,
+            shed_total: 0,
+            denied_total: 0,
+            extras_total: 0,
+        }
+    }
+
+    /// News of the fleet: peers alive and the fleet's pressure in thousandths.
+    pub fn news(&mut self, now: Micros, alive: usize, pressure: u32) {
+        self.alive = alive;
+        self.pressure = pressure;
+        self.size.seen(now, alive);
+        self.shed.pressure(now, pressure);
+    }
+
+    /// This front end's summary with `in_flight` requests open.
+    pub fn summary(&self, now: Micros, in_flight: usize) -> Summary {
+        let spent = self.budget.spent(now);
+        let in_flight = in_flight.min(u32::MAX as usize) as u32;
+        Summary {
+            in_flight,
+            pressure: (u64::from(in_flight) * 1000 / u64::from(self.capacity)).min(u64::from(u32::MAX))
+                as u32,
+            firsts: spent.firsts,
+            extras: spent.extras,
+            denied: spent.denied,
+            shed: self.shed_total.min(u64::from(u32::MAX)) as u32,
+            ..Summary::default()
+        }
+    }
+
+    /// The wait to tell, if a request of this class is to be refused at once.
+    pub fn sheds(&mut self, now: Micros, class: usize) -> Option<Micros> {
+        let chance = self.rng.random::<f64>();
+        let refused = self.shed.refuses(now, class, chance);
+        self.shed_total += u64::from(refused);
+        refused.then_some(self.wait)
+    }
+
+    /// An attempt is about to go: `extra` when the request had one already. Whether it may.
+    pub fn attempt(&mut self, now: Micros, extra: bool) -> bool {
+        if !extra {
+            self.budget.first(now);
+            return true;
+        }
+        let may = self.budget.extra(now, self.size.estimate());
+        self.extras_total += u64::from(may);
+        self.denied_total += u64::from(!may);
+        may
+    }
+
+    /// Lines for `telemetry`.
+    pub fn text(&self, out: &mut String) {
+        let _ = writeln!(out, "app.fleet.peers:{}|g", self.alive);
+        let _ = writeln!(out, "app.fleet.size:{}|g", self.size.estimate());
+        let _ = writeln!(out, "app.fleet.pressure:{}|g", self.pressure);
+        let _ = writeln!(out, "app.fleet.refusing_permille:{}|g", (self.shed.refusing() * 1000.0) as u64);
+        let _ = writeln!(out, "app.fleet.extra_attempts:{}|c", self.extras_total);
+        let _ = writeln!(out, "app.fleet.extra_denied:{}|c", self.denied_total);
+        let _ = writeln!(out, "app.fleet.shed:{}|c", self.shed_total);
+    }
+}
--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -1,12 +1,14 @@
 //! The one thread that owns the decision module. Fronts, transports and the roster reach it through its
 //! queue only; it knows requests, attempts, outcomes and members, and no wire.
 mod clock;
+mod fleet;
 mod operate;
 mod telemetry;
 mod timers;
 mod types;
 
 pub use clock::Clock;
+pub use fleet::Gate;
 pub use telemetry::{Ended, Gauges, Tally};
 pub use types::*;
 
@@ -36,6 +38,8 @@
     pub draining: Arc<AtomicBool>,
     /// Whether the process is about to end: new requests on kept connections are refused at once.
     pub stopping: AtomicBool,
+    /// This front end's load summary for the fleet, as the core last wrote it.
+    pub summary: std::sync::Mutex<crate::fleet::Summary>,
 }
 
 impl Shared {
@@ -101,6 +105,8 @@
     events: VecDeque<Event>,
     counts: Vec<Counts>,
     tally: Tally,
+    /// The fleet's bounds, where the fleet is on.
+    gate: Option<Gate>,
 }
 
 impl Core {
@@ -131,9 +137,16 @@
             events: VecDeque::new(),
             counts,
             tally,
+            gate: None,
         }
     }
 
+    /// Applies the fleet's bounds from now on.
+    pub fn with_gate(mut self, gate: Gate) -> Self {
+        self.gate = Some(gate);
+        self
+    }
+
     /// Runs until every sender of the queue is gone.
     pub fn run(mut self) {
         self.timers.set(self.clock.now() + SWEEP, Due::Sweep);
@@ -194,6 +207,14 @@
             Message::Admin(call, reply) => {
                 let _ = reply.send(self.call(call)); // who asked may have left
             }
+            Message::Fleet { alive, pressure } => {
+                let (now, open) = (self.clock.now(), self.requests.len());
+                if let Some(gate) = self.gate.as_mut() {
+                    gate.news(now, alive, pressure);
+                    let summary = gate.summary(now, open);
+                    *self.shared.summary.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = summary;
+                }
+            }
         }
         self.decide();
     }
@@ -217,9 +238,15 @@
             self.tally.ended(class, Ended::Failed);
             return client.answer(tag, Answer::Failed);
         }
+        let now = self.clock.now();
+        if let Some(wait) = self.gate.as_mut().and_then(|g| g.sheds(now, class)) {
+            // Shed in common with the fleet: answered at once, with when to come back.
+            self.tally.ended(class, Ended::Rejected);
+            self.count(tenant).asked += 1;
+            return client.answer(tag, Answer::Refused { wait });
+        }
         self.last += 1;
         let id = self.last;
-        let now = self.clock.now();
         let left = self.left(now, &request);
         self.events.push_back(Event::Request {
             id,
@@ -447,10 +474,13 @@
         let left = self.left(now, &request);
         let budget = if timeout == 0 { left } else { timeout.min(left) };
         let Some(open) = self.requests.get_mut(&id) else { return };
+        let extra = !open.attempts.is_empty();
+        // The fleet's retry budget: an extra attempt that it refuses is moot, as one to a worker that is not.
+        let allowed = self.gate.as_mut().is_none_or(|g| g.attempt(now, extra));
         open.attempts.push(Attempt { worker: worker.clone(), sent: now, open: true, carried: false });
         let ready = |p: &&mut Peer| p.member.state == WorkerState::Ready;
         match self.peers.get_mut(&worker).filter(ready) {
-            Some(peer) if !open.answered && budget > 0 => {
+            Some(peer) if !open.answered && budget > 0 && allowed => {
                 peer.transport.send(key, &open.request, budget);
                 if let Some(attempt) = open.attempts.last_mut() {
                     attempt.carried = true;
--- a/wrenseam/src/core/operate.rs
+++ b/wrenseam/src/core/operate.rs
@@ -41,7 +41,14 @@
             },
             Call::Telemetry => {
                 let names: Vec<String> = self.settings.classes.iter().map(|c| c.name.clone()).collect();
-                self.tally.text(&names, self.gauges())
+                let mut text = self.tally.text(&names, self.gauges());
+                if let Some(gate) = &self.gate {
+                    // Before END, so that a reader that stops there has them.
+                    text.truncate(text.len() - "END\n".len());
+                    gate.text(&mut text);
+                    text.push_str("END\n");
+                }
+                text
             }
         }
     }
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod core;
 pub mod fleet;
 pub mod front;
+pub mod gossip;
 pub mod http;
 pub mod limits;
 pub mod membership;
@@ -50,7 +51,12 @@
     };
     let reports = worker::Reports(queue.clone());
     let seed = config.seed;
-    let core = Core::new(config.settings, seed, limits.clone(), inbox, reports, shared);
+    let mut core = Core::new(config.settings.clone(), seed, limits.clone(), inbox, reports, shared.clone());
+    if let Some(fleet) = &config.fleet {
+        core = core.with_gate(core::Gate::new(fleet, &config.settings, seed));
+        let own = gossip::start(fleet, seed, queue.clone(), shared.clone(), limits.stack)?;
+        eprintln!("start: gossip listens on {own}");
+    }
     // The module would be half-changed after a panic: a front end without its core must not go on.
     std::thread::Builder::new()
         .name("core".to_owned())
