Fleet lab: N processes, stand-in workers and gateways, fault proxy, report and plot

Change: a workspace binary fleetlab (clap: check, run) reads a JSON scenario, starts stand-in KServe v2 workers behind TCP relays, N wrenseam processes whose gossip goes through UDP relays (new fleet key 'advertise', as memberlist's, tells peers the relay's address), drives a seeded open-loop Poisson load with client retries, and applies faults on a timeline: slow, partition, heal, drop, duplicate, delay, reset, blackhole, kill, restart. What happens to each datagram or connection is decided without I/O in fleetlab/src/faults.rs. Report: per-second offered, served, refused, retried, failed, unanswered, worker calls, probes, p50/p99 (hdrhistogram), totals with the front ends' app.fleet figures, SVG plot.

Checked: a first run stalled at the load's start; gdb showed both may worker threads in a futex on the relays' counter lock, held across a connect that yields. Counting now takes the lock only to add.

--- /dev/null
+++ b/fleetlab/src/lab.rs
@@ -0,0 +1,294 @@
+//! A run: stand-in workers behind relays, N processes of the program with their gossip behind relays,
+//! the gateways' load, and the faults on their timeline. Everything is on loopback and ends by itself.
+use crate::faults::Faults;
+use crate::gateway::{self, Load};
+use crate::proxy::{self, Done, Real};
+use crate::scenario::Scenario;
+use crate::tally::Tally;
+use crate::worker::{self, go};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::{Duration, Instant};
+
+/// The settings every front end of the lab is given: the classes the gateways use, one tenant.
+const SETTINGS: &str = r#"{"balancers":1,"classes":[
+ {"effect":"retryable","goal-time":400,"key-scope":"all","memory-span":5000,"name":"tile-render","worth":1}],
+ "failure-domains":["hall-a","hall-b"],"flavors":["std"],"tenants":[{"name":"acme","portion":1,"quota-per-s":100000}],
+ "family-info":{"free-loads":4,"keep":8000,"load-span":5000,"load-wait":4000,"loads-per-request":0.15,
+ "machine-mb":[90000],"orders":true,"tells-crowd":true,"tells-warm":true,"when-absent":"load"},
+ "limits":{"conn-idle":15000,"connect-timeout":250,"max-attempts":3,"max-retry-after":1000,"may-cancel":true,
+ "retry-after":true,"second-copies":false,"streams-per-conn":100},"rules":{"cold-from":0.2,"fall":1000,
+ "fall-multiple":2,"warm-within":17000}}"#;
+
+/// One process of the program.
+struct Front {
+    child: Option<Child>,
+    door: SocketAddr,
+    kserve: SocketAddr,
+    /// Its gossip socket, kept across a restart.
+    gossip: Option<SocketAddr>,
+}
+
+/// What a run leaves: the tally, each front end's fleet figures at the end, the relays' work.
+pub struct Outcome {
+    pub tally: Arc<Tally>,
+    /// Per front end: (name, value) of its `app.fleet.*` figures read at the end of the load.
+    pub figures: Vec<Vec<(String, u64)>>,
+    pub done: Done,
+    /// Front ends that ended by themselves, not by a `kill`.
+    pub died: Vec<usize>,
+    /// Seconds until every front end counted all others alive, before the load (None: fleet off).
+    pub joined_s: Option<f64>,
+}
+
+/// The lab's whole state while a run goes on.
+struct Lab {
+    scenario: Scenario,
+    program: PathBuf,
+    folder: PathBuf,
+    fronts: Vec<Front>,
+    relays: Vec<SocketAddr>,
+    real: Real,
+    endpoints: PathBuf,
+}
+
+/// Runs a scenario with the program at `program`, writing its files into `folder`.
+///
+/// # Errors
+/// A port, a file or a process could not be had; a front end did not start.
+pub fn run(scenario: &Scenario, program: &Path, folder: &Path) -> Result<Outcome, String> {
+    std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    may::config().set_workers(2).set_stack_size(0x8000);
+    let s = scenario.clone();
+    let faults = Arc::new(RwLock::new(Faults::new(s.fronts, s.workers)));
+    let tally = Arc::new(Tally::new(s.seconds));
+    let done = Arc::new(Mutex::new(Done::default()));
+    let io = |e: std::io::Error| e.to_string();
+    let mut links = Vec::new();
+    for w in 0..s.workers {
+        let at = worker::start(s.work_ms, faults.clone(), tally.clone()).map_err(io)?;
+        links.push(proxy::link(w, at, faults.clone(), s.seed ^ (w as u64) << 8, done.clone()).map_err(io)?);
+    }
+    let real: Real = Arc::new(RwLock::new(vec![None; s.fronts]));
+    let mut relays = Vec::new();
+    for f in 0..s.fronts {
+        let seed = s.seed ^ (f as u64) << 16;
+        relays.push(proxy::gossip(f, real.clone(), faults.clone(), seed, done.clone()).map_err(io)?);
+    }
+    let endpoints = folder.join("endpoints.json");
+    let localities: Vec<String> = links
+        .iter()
+        .enumerate()
+        .map(|(w, a)| {
+            let hall = if w % 2 == 0 { "hall-a" } else { "hall-b" };
+            format!(
+                r#"{{"locality":{{"zone":"{hall}"}},"lb_endpoints":[{{"endpoint":{{"address":{{"socket_address":{{"address":"127.0.0.1","port_value":{}}}}}}}}}]}}"#,
+                a.port()
+            )
+        })
+        .collect();
+    let text = format!(
+        r#"{{"resources":[{{"cluster_name":"lab-workers","endpoints":[{}]}}]}}"#,
+        localities.join(",")
+    );
+    std::fs::write(&endpoints, text).map_err(io)?;
+    let mut lab = Lab {
+        scenario: s.clone(),
+        program: program.to_owned(),
+        folder: folder.to_owned(),
+        fronts: Vec::new(),
+        relays,
+        real,
+        endpoints,
+    };
+    for f in 0..s.fronts {
+        let front = lab.start(f, None)?;
+        lab.fronts.push(front);
+    }
+    let joined_s = if s.fleet { Some(lab.joined(Duration::from_secs(10))?) } else { None };
+    let kserve = Arc::new(RwLock::new(lab.fronts.iter().map(|f| f.kserve).collect::<Vec<_>>()));
+    let load = Load {
+        rate_per_s: s.rate_per_s,
+        seconds: s.seconds,
+        wait_ms: s.wait_ms,
+        attempts: s.client_attempts,
+        seed: s.seed,
+    };
+    let (ended, driving) = std::sync::mpsc::channel();
+    let (k, t) = (kserve.clone(), tally.clone());
+    go(move || {
+        gateway::drive(load, k, t);
+        let _ = ended.send(());
+    });
+    // The faults' timeline, on this thread; kills and restarts are of processes, the rest of links.
+    let mut timeline = s.faults.clone();
+    timeline.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+    let mut died = Vec::new();
+    let mut killed = vec![false; s.fronts];
+    for fault in &timeline {
+        while tally.now_s() < fault.at_s {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        eprintln!("lab: {:.2} s: {}", tally.now_s(), fault.kind);
+        match (fault.kind.as_str(), fault.front) {
+            ("kill", Some(f)) => {
+                if let Some(mut c) = lab.fronts[f].child.take() {
+                    let _ = c.kill();
+                    let _ = c.wait();
+                }
+                killed[f] = true;
+            }
+            ("restart", Some(f)) if lab.fronts[f].child.is_none() => {
+                let by = (0..s.fronts).find(|&o| o != f && lab.fronts[o].child.is_some());
+                let front = lab.start(f, by)?;
+                kserve.write().map_err(|_| "poisoned")?[f] = front.kserve;
+                lab.fronts[f] = front;
+                killed[f] = false;
+            }
+            _ => faults.write().map_err(|_| "poisoned")?.apply(fault),
+        }
+    }
+    let _ = driving.recv_timeout(Duration::from_secs(s.seconds + 60));
+    let mut figures = Vec::new();
+    for (f, front) in lab.fronts.iter_mut().enumerate() {
+        let alive = front.child.as_mut().is_some_and(|c| c.try_wait().ok().flatten().is_none());
+        if !alive && !killed[f] {
+            died.push(f);
+        }
+        figures.push(if alive { fleet_figures(front.door) } else { Vec::new() });
+    }
+    for front in &mut lab.fronts {
+        if let Some(mut c) = front.child.take() {
+            let _ = c.kill();
+            let _ = c.wait();
+        }
+    }
+    let done = std::mem::take(&mut *done.lock().map_err(|_| "poisoned")?);
+    Ok(Outcome { tally, figures, done, died, joined_s })
+}
+
+impl Lab {
+    /// Starts front end `f`, joining by way of `by`'s relay (else the first's, unless it is the first).
+    fn start(&mut self, f: usize, by: Option<usize>) -> Result<Front, String> {
+        let s = &self.scenario;
+        let write = |name: String, text: String| -> Result<PathBuf, String> {
+            let path = self.folder.join(name);
+            std::fs::write(&path, text).map_err(|e| e.to_string())?;
+            Ok(path)
+        };
+        let config = write(
+            format!("config-{f}.json"),
+            format!(
+                r#"{{"name":"lab{f}","seed":"{:x}","admin":"127.0.0.1:0","limits":{{"memory_mb":192,"sockets":1024}},"settings":{SETTINGS},"known":{{"rev":0,"notices":[]}}}}"#,
+                s.seed.wrapping_add(f as u64)
+            ),
+        )?;
+        let kserve = write(
+            format!("kserve-{f}.json"),
+            format!(r#"{{"listen":"127.0.0.1:0","endpoints":"{}"}}"#, self.endpoints.display()),
+        )?;
+        let tmp = self.folder.join(format!("tmp-{f}"));
+        std::fs::create_dir_all(&tmp).map_err(|e| e.to_string())?;
+        let mut command = Command::new(&self.program);
+        command
+            .env("NODE_CONFIG", &config)
+            .env("NODE_LISTEN", "127.0.0.1:0")
+            .env("TMPDIR", &tmp)
+            .env("WRENSEAM_KSERVE", &kserve)
+            .stderr(Stdio::piped());
+        let known = self.fronts.get(f).and_then(|old| old.gossip);
+        if s.fleet {
+            let seed = by.or((f > 0).then_some(0)).map(|b| format!(r#""{}""#, self.relays[b]));
+            let listen = known.map_or("127.0.0.1:0".to_owned(), |a| a.to_string());
+            let fleet = write(
+                format!("fleet-{f}.json"),
+                format!(
+                    r#"{{"listen":"{listen}","advertise":"{}","seeds":[{}],"cluster":"lab","expected":{},"probe_ms":200,"suspect_ms":600,"capacity":64,"shed_order":["tile-render"]}}"#,
+                    self.relays[f],
+                    seed.unwrap_or_default(),
+                    s.fronts
+                ),
+            )?;
+            command.env("WRENSEAM_FLEET", fleet);
+        }
+        let mut child = command.spawn().map_err(|e| format!("{}: {e}", self.program.display()))?;
+        let mut lines = BufReader::new(child.stderr.take().ok_or("no log")?).lines();
+        let (mut door, mut front, mut gossip) = (None, None, None);
+        while door.is_none() || front.is_none() || (s.fleet && gossip.is_none()) {
+            let line = lines.next().ok_or(format!("front end {f} ended before it listened"))?;
+            let line = line.map_err(|e| e.to_string())?;
+            let address = || line.rsplit_once(" listens on ").and_then(|(_, a)| a.parse().ok());
+            if line.contains("the operators' door listens on") {
+                door = address();
+            } else if line.contains("KServe v2 listens on") {
+                front = address();
+            } else if line.contains("gossip listens on") {
+                gossip = address();
+            }
+        }
+        // The rest of its log goes to a file, so that the pipe never fills; a thread, for a pipe
+        // blocks and is no socket of may's.
+        let log = self.folder.join(format!("front-{f}.log"));
+        std::thread::spawn(move || {
+            let Ok(mut out) = std::fs::OpenOptions::new().create(true).append(true).open(log) else { return };
+            for line in lines.map_while(Result::ok) {
+                let _ = writeln!(out, "{line}");
+            }
+        });
+        if let Some(g) = gossip {
+            self.real.write().map_err(|_| "poisoned")?[f] = Some(g);
+        }
+        Ok(Front {
+            child: Some(child),
+            door: door.ok_or("no door")?,
+            kserve: front.ok_or("no front")?,
+            gossip,
+        })
+    }
+
+    /// Waits until every front end counts all others alive; how long it took, s.
+    fn joined(&self, within: Duration) -> Result<f64, String> {
+        let since = Instant::now();
+        let want = self.fronts.len() as u64 - 1;
+        loop {
+            if self.fronts.iter().all(|f| figure(&fleet_figures(f.door), "peers") == Some(want)) {
+                return Ok(since.elapsed().as_secs_f64());
+            }
+            if since.elapsed() > within {
+                return Err(format!("the fleet did not form in {} s", within.as_secs()));
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+/// A figure by its short name (`peers` for `app.fleet.peers`).
+pub fn figure(figures: &[(String, u64)], name: &str) -> Option<u64> {
+    figures.iter().find(|(n, _)| n == name).map(|(_, v)| *v)
+}
+
+/// The `app.fleet.*` figures at a front end's door, and its `app.requests`-like totals kept as named.
+fn fleet_figures(door: SocketAddr) -> Vec<(String, u64)> {
+    let Ok(mut stream) = TcpStream::connect_timeout(&door, Duration::from_secs(1)) else {
+        return Vec::new();
+    };
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(2)));
+    let _ = stream.write_all(b"telemetry\n");
+    let mut told = String::new();
+    let mut chunk = [0u8; 4096];
+    while !told.contains("END") {
+        match stream.read(&mut chunk) {
+            Ok(n) if n > 0 => told.push_str(&String::from_utf8_lossy(&chunk[..n])),
+            _ => break,
+        }
+    }
+    told.lines()
+        .filter_map(|l| {
+            let (name, rest) = l.strip_prefix("app.fleet.")?.split_once(':')?;
+            Some((name.to_owned(), rest.split('|').next()?.parse().ok()?))
+        })
+        .collect()
+}
--- /dev/null
+++ b/fleetlab/src/tally.rs
@@ -0,0 +1,96 @@
+//! What the lab counts, second by second of the run, from every stand-in at once.
+use hdrhistogram::Histogram;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::Instant;
+
+/// The counts of one second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Count {
+    /// Requests begun by the gateways (first attempts).
+    Offered,
+    /// Attempts sent to a front end beyond the first of a request.
+    Retried,
+    /// Requests that ended served.
+    Served,
+    /// Answers of 503 with a wait told (refusals), each attempt's.
+    Refused,
+    /// Requests that ended without being served, after their last attempt.
+    Failed,
+    /// Attempts that got no answer in time (wait plus a second), or a cut connection.
+    Unanswered,
+    /// Calls that reached a stand-in worker.
+    Calls,
+    /// Asks for a function's state or loads that reached a worker (the program's probes).
+    Probes,
+}
+
+const KINDS: usize = 8;
+
+/// Per-second counts and latencies of served requests (µs, first attempt to answer).
+pub struct Tally {
+    start: Instant,
+    counts: Vec<[AtomicU64; KINDS]>,
+    latency: Mutex<Vec<Histogram<u64>>>,
+}
+
+impl Tally {
+    /// Room for `seconds` seconds and a few more for what ends late.
+    pub fn new(seconds: u64) -> Tally {
+        let n = seconds as usize + 5;
+        let latency = (0..n).map(|_| Histogram::new_with_bounds(1, 60_000_000, 2).expect("bounds")).collect();
+        Tally {
+            start: Instant::now(),
+            counts: (0..n).map(|_| std::array::from_fn(|_| AtomicU64::new(0))).collect(),
+            latency: Mutex::new(latency),
+        }
+    }
+
+    /// The second of the run now.
+    pub fn second(&self) -> usize {
+        (self.start.elapsed().as_secs() as usize).min(self.counts.len() - 1)
+    }
+
+    /// Seconds since the start, as a fraction.
+    pub fn now_s(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    pub fn add(&self, what: Count) {
+        self.counts[self.second()][what as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// A served request's latency, µs.
+    pub fn served(&self, micros: u64) {
+        self.add(Count::Served);
+        let s = self.second();
+        let mut l = self.latency.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let _ = l[s].record(micros.max(1));
+    }
+
+    /// How many of a kind in second `s`.
+    pub fn get(&self, s: usize, what: Count) -> u64 {
+        self.counts.get(s).map_or(0, |c| c[what as usize].load(Ordering::Relaxed))
+    }
+
+    /// Seconds with room.
+    pub fn len(&self) -> usize {
+        self.counts.len()
+    }
+
+    /// The sum over the run of a kind.
+    pub fn total(&self, what: Count) -> u64 {
+        (0..self.len()).map(|s| self.get(s, what)).sum()
+    }
+
+    /// Latency quantile `q` of second `s` (None for the whole run), ms.
+    pub fn quantile_ms(&self, s: Option<usize>, q: f64) -> f64 {
+        let l = self.latency.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut whole = Histogram::<u64>::new_with_bounds(1, 60_000_000, 2).expect("bounds");
+        match s {
+            Some(s) => whole.add(&l[s]).expect("same bounds"),
+            None => l.iter().try_for_each(|h| whole.add(h)).expect("same bounds"),
+        }
+        whole.value_at_quantile(q) as f64 / 1000.0
+    }
+}
--- a/wrenseam/src/config.rs
+++ b/wrenseam/src/config.rs
@@ -35,6 +35,9 @@
 pub struct Fleet {
     /// Where the gossip socket (UDP) is bound.
     pub listen: SocketAddr,
+    /// The address peers are told to send to, as Consul's and memberlist's `advertise`: a relay or
+    /// proxy in front of `listen`. None: the address the socket is bound to.
+    pub advertise: Option<SocketAddr>,
     /// Peers asked to let this front end join.
     pub seeds: Vec<SocketAddr>,
     /// The cluster's name: datagrams of another are dropped.
@@ -87,6 +90,7 @@
         }
         Ok(Fleet {
             listen,
+            advertise: address(&fields, "advertise")?,
             seeds,
             cluster: text(&fields, "cluster").unwrap_or("wrenseam").to_owned(),
             expected: figure("expected", 1.0, 1.0, 100_000.0)? as usize,
--- a/wrenseam/src/core/fleet.rs
+++ b/wrenseam/src/core/fleet.rs
@@ -112,6 +112,7 @@
     fn fleet(ratio: f64, floor: f64, expected: usize) -> Fleet {
         Fleet {
             listen: "127.0.0.1:0".parse().expect("an address"),
+            advertise: None,
             seeds: Vec::new(),
             cluster: "t".to_owned(),
             expected,
--- a/wrenseam/src/gossip.rs
+++ b/wrenseam/src/gossip.rs
@@ -20,7 +20,8 @@
     name.bytes().fold(0x811c_9dc5u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
 }
 
-/// Binds the gossip socket and starts its coroutine; the address it is bound to.
+/// Binds the gossip socket and starts its coroutine; the address it is bound to (peers are told
+/// `advertise` instead, where it is set).
 ///
 /// # Errors
 /// The socket cannot be bound, or the coroutine not started.
@@ -28,7 +29,8 @@
     fleet: &Fleet, seed: u64, core: Sender<Message>, shared: Arc<Shared>, stack: usize,
 ) -> Result<SocketAddr, String> {
     let socket = UdpSocket::bind(fleet.listen).map_err(|e| format!("gossip {}: {e}", fleet.listen))?;
-    let own = socket.local_addr().map_err(|e| format!("gossip: {e}"))?;
+    let bound = socket.local_addr().map_err(|e| format!("gossip: {e}"))?;
+    let own = fleet.advertise.unwrap_or(bound);
     let clock = Clock::start();
     let settings = SwimSettings {
         cluster: cluster_id(&fleet.cluster),
@@ -45,7 +47,7 @@
     let (period, seeds) = (fleet.probe_ms * 1000, fleet.seeds.clone());
     crate::net::spawn(stack, move || carry(socket, swim, clock, period, seeds, core, shared))
         .map_err(|e| format!("gossip: {e}"))?;
-    Ok(own)
+    Ok(bound)
 }
 
 fn carry(
