Lab tests: three processes under a retry storm, a gossip partition, loss and a kill

Change: fleetlab/tests/lab.rs runs the lab binary on two scenarios with 3 front ends: workers slowed 3x past the wait with clients that retry at another front end; front end 0 cut from its peers' gossip with 10% of datagrams lost and 10% doubled while front end 2 is killed and restarted. Checked: no process ends by itself, each request ends once, worker calls within the attempts made, no attempt at a live process unanswered in the storm, the fleet whole again after the heal. The lab prints PEERS.

--- a/fleetlab/src/main.rs
+++ b/fleetlab/src/main.rs
@@ -81,6 +81,12 @@
                 x.offered, x.served, x.failed, x.refused, x.unanswered, x.retried, x.calls_per_request,
                 x.extra_attempts, x.extra_denied, x.goodput_per_s, x.p99_ms, outcome.died.len()
             );
+            let peers: Vec<String> = outcome
+                .figures
+                .iter()
+                .map(|f| lab::figure(f, "peers").map_or("-".to_owned(), |p| p.to_string()))
+                .collect();
+            println!("PEERS {}", peers.join(","));
             Ok(())
         }),
     };
--- /dev/null
+++ b/fleetlab/tests/lab.rs
@@ -0,0 +1,85 @@
+//! Several processes of the program under the lab's load, with faults between them. The program is the
+//! `wrenseam` built beside `fleetlab` (the workspace's test command builds both).
+use rstest::rstest;
+use std::path::PathBuf;
+use std::process::Command;
+
+/// A run's figures, from the lab's TOTALS and PEERS lines.
+struct Run {
+    totals: Vec<(String, f64)>,
+    peers: Vec<Option<u64>>,
+}
+
+impl Run {
+    fn get(&self, name: &str) -> f64 {
+        self.totals.iter().find(|(n, _)| n == name).map(|(_, v)| *v).unwrap_or_else(|| panic!("no {name}"))
+    }
+}
+
+fn lab(name: &str, scenario: &str) -> Run {
+    let exe = PathBuf::from(env!("CARGO_BIN_EXE_fleetlab"));
+    let program = exe.with_file_name("wrenseam");
+    assert!(program.exists(), "build the workspace first: {} is missing", program.display());
+    let folder =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("lab-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("scenario.json");
+    std::fs::write(&file, scenario).expect("written");
+    let out = Command::new(exe)
+        .arg("run")
+        .arg(&file)
+        .arg("--out")
+        .arg(&folder)
+        .arg("--program")
+        .arg(&program)
+        .output()
+        .expect("the lab runs");
+    let text = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert!(out.status.success(), "{text}\n{}", String::from_utf8_lossy(&out.stderr));
+    let line = |tag: &str| text.lines().find_map(|l| l.strip_prefix(tag)).unwrap_or_else(|| panic!("{text}"));
+    let totals = line("TOTALS ")
+        .split(' ')
+        .filter_map(|kv| kv.split_once('='))
+        .map(|(k, v)| (k.to_owned(), v.parse().expect("a figure")))
+        .collect();
+    let peers = line("PEERS ").split(',').map(|p| p.parse().ok()).collect();
+    eprintln!("{text}");
+    Run { totals, peers }
+}
+
+/// Workers slow to 3x their time, past the wait, and every client tries again at another front end.
+const STORM: &str = r#"{"name":"storm","seed":7,"seconds":5,"fronts":3,"workers":2,"fleet":true,
+ "rate_per_s":40,"work_ms":120,"wait_ms":400,"client_attempts":3,
+ "faults":[{"at_s":1,"kind":"slow","factor":3}]}"#;
+
+/// Front end 0 cut from its peers' gossip, lossy and doubled datagrams, front end 2 killed and restarted.
+const CUTS: &str = r#"{"name":"cuts","seed":11,"seconds":6,"fronts":3,"workers":2,"fleet":true,
+ "rate_per_s":40,"work_ms":10,"wait_ms":400,"client_attempts":2,
+ "faults":[{"at_s":1,"kind":"partition","fronts":[0]},{"at_s":1,"kind":"drop","ratio":0.1},
+           {"at_s":1,"kind":"duplicate","ratio":0.1},{"at_s":3.5,"kind":"heal"},
+           {"at_s":1.5,"kind":"kill","front":2},{"at_s":2.5,"kind":"restart","front":2}]}"#;
+
+#[rstest]
+#[case::retry_storm("storm", STORM)]
+#[case::partition_and_kill("cuts", CUTS)]
+fn every_attempt_at_a_live_process_ends_in_one_answer_and_no_process_ends(
+    #[case] name: &str, #[case] scenario: &str,
+) {
+    let run = lab(name, scenario);
+    assert_eq!(run.get("died"), 0.0, "a front end ended by itself");
+    let (offered, served, failed) = (run.get("offered"), run.get("served"), run.get("failed"));
+    assert!(offered > 100.0, "the load ran: {offered}");
+    assert_eq!(served + failed, offered, "each request ends once, served or failed");
+    // Worker calls: at most one per attempt made (the program added none of its own beyond its budget).
+    let attempts = offered + run.get("retried");
+    assert!(run.get("calls_per_request") * offered <= attempts * 1.1 + 10.0);
+    if name == "storm" {
+        assert_eq!(run.get("unanswered"), 0.0, "an attempt got no answer within its wait and a second");
+        assert!(run.get("retried") > 0.2 * offered, "the storm came");
+    } else {
+        // Only attempts at the killed process go unanswered; the cut-off one rejoins after the heal.
+        assert!(run.get("unanswered") < 0.2 * offered);
+        assert!(served > 0.8 * offered);
+        assert_eq!(run.peers, vec![Some(2); 3], "the fleet formed again after the heal");
+    }
+}
