A board that stands and tells nothing more is asked anew; events are put in their place by number

Cause: roster.rs poll() took any byte for a sign of life (`Ok(_) => heard = Instant::now()`), so a watch that goes on commenting and tells nothing was never asked again, while what the board has counts as told 7 s on. tell() kept one number: an event spoilt twice was passed over for good (`event {number} skipped`), one bad instance failed a whole event or list (`collect::<Result<Vec<_>, _>>()`), an event without an id took the number of the one before (Events kept `id`) and passed for a repeat, one whose id is no number had the board called for it for ever, a gap went unseen, and of a board that counts anew from 1 all was passed over without a word.

Change: watch.rs, without sockets or clock, decides from where the board is asked and what an event changes. An event told late does not undo what came after it. A watch that told nothing for 3 to 4.5 s (drawn for each call, so that a fleet's calls are spread) is asked anew. A board that counts anew is believed once it has told its list and then only commented.

Ruled out: the old board's late event after the new one's, as one coroutine follows the board and drops the old connection before it dials.

--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ring;
 pub mod roster;
 pub mod shutdown;
+pub mod watch;
 pub mod worker;
 
 use crate::core::{Core, Message, Shared, Speech};
@@ -66,21 +67,13 @@
             }
         })
         .map_err(|e| format!("core thread: {e}"))?;
-    let mut last = 0;
-    for event in config::notices(&config.known) {
-        match roster::notice(event) {
-            Ok((full, members)) => {
-                let _ = queue.send(Message::Members { source: Speech::Frames, full, members });
-            }
-            Err(why) => eprintln!("start: known notice skipped: {why}"),
-        }
-    }
-    if let Some(rev) = bramblepath::json::whole(&config.known, "rev") {
-        last = rev;
+    let (watch, known) = watch::Watch::new(&config.known);
+    for watch::News { full, members } in known {
+        let _ = queue.send(Message::Members { source: Speech::Frames, full, members });
     }
     let board = Arc::new(roster::Board::new(config.board));
     let (own, within, core) = (board.clone(), limits.clone(), queue.clone());
-    net::spawn(limits.stack, move || roster::follow(&own, last, seed, &within, &core))
+    net::spawn(limits.stack, move || roster::follow(&own, watch, seed, &within, &core))
         .map_err(|e| format!("board: {e}"))?;
     if config.admin.is_some() {
         // Before any client comes: a process that replaces another keeps its exclusions from the first call.
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -83,6 +83,9 @@
     pub order: Micros,
     /// A notice board silent for this long (it comments each second) is called anew.
     pub board_silence: Duration,
+    /// A watch that told nothing for so long, drawn between these, is asked anew though it comments: what the board
+    /// has to tell counts as told 7 s on, and a call that fails leaves time for another.
+    pub board_told: (Duration, Duration),
     /// How often the wait for the board looks whether the board has moved.
     pub board_check: Duration,
     /// Wait before the board is called again after a failed call.
@@ -151,6 +154,7 @@
             write_check: Duration::from_millis(50),
             order: if settings.order_timeout > 0 { settings.order_timeout } else { 10_000_000 },
             board_silence: Duration::from_millis(2_500), // what a silent board has to tell counts 4 s on
+            board_told: (Duration::from_millis(3_000), Duration::from_millis(4_500)),
             board_check: Duration::from_millis(50),
             board_retry: Duration::from_millis(100),
             board_spread: Duration::from_millis(if large { 300 } else { 0 }),
--- a/wrenseam/src/redial.rs
+++ b/wrenseam/src/redial.rs
@@ -11,6 +11,7 @@
     spread: Duration,
     first: Duration,
     most: Duration,
+    told: (Duration, Duration),
     failures: u32,
 }
 
@@ -19,7 +20,7 @@
     pub fn new(seed: u64, limits: &Limits) -> Self {
         let chance = Pcg32::seed_from_u64(seed);
         let (spread, first, most) = (limits.board_spread, limits.board_retry, limits.board_retry_most);
-        Redial { chance, spread, first, most, failures: 0 }
+        Redial { chance, spread, first, most, told: limits.board_told, failures: 0 }
     }
 
     /// The wait after a call that brought something, or once the source has moved.
@@ -39,6 +40,13 @@
         wait / 2 + self.part(wait / 2)
     }
 
+    /// How long a call may go on that tells nothing, before the source is asked anew: drawn for each call, so that
+    /// the calls of many are spread.
+    pub fn told_within(&mut self) -> Duration {
+        let (least, most) = self.told;
+        least + self.part(most.saturating_sub(least))
+    }
+
     fn part(&mut self, of: Duration) -> Duration {
         of.mul_f64(f64::from(self.chance.next_u32()) / 2f64.powi(32))
     }
--- a/wrenseam/src/roster.rs
+++ b/wrenseam/src/roster.rs
@@ -5,7 +5,8 @@
 use crate::net::timed_out;
 use crate::redial::Redial;
 use crate::ring::Ring;
-use bramblepath::json::{flag, list, object, parse, part, span, text, whole};
+use crate::watch::{News, Watch};
+use bramblepath::json::{flag, list, object, part, span, text, whole};
 use bramblepath::WorkerState;
 use may::net::TcpStream;
 use may::sync::Mutex;
@@ -13,14 +14,38 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-/// One event of the board: whether it is the whole list, and the members it names.
-pub fn notice(event: &Object) -> Result<(bool, Vec<Member>), String> {
+/// What an event of the board tells.
+#[derive(Debug, Default)]
+pub struct Told {
+    /// Whether it is the whole list.
+    pub full: bool,
+    /// The members it names that can be read.
+    pub members: Vec<Member>,
+    /// What is wrong with the others.
+    pub faults: Vec<String>,
+}
+
+/// One event of the board. An instance that cannot be read spoils none of the others.
+///
+/// # Errors
+/// It holds no list of instances at all.
+pub fn instances(event: &Object) -> Result<Told, String> {
     let pool = part(event, "pool").ok_or("no 'pool'")?;
-    let instances = list(pool, "instances").iter().filter_map(object);
-    let members = instances.map(instance).collect::<Result<Vec<_>, String>>()?;
-    Ok((flag(pool, "reset"), members))
+    let mut told = Told { full: flag(pool, "reset"), ..Told::default() };
+    match pool.get("instances") {
+        Some(Value::Array(items)) => {
+            for item in items {
+                match object(item).ok_or_else(|| "an instance is no object".to_owned()).and_then(instance) {
+                    Ok(member) => told.members.push(member),
+                    Err(why) => told.faults.push(why),
+                }
+            }
+        }
+        _ => told.faults.push("no list of 'instances'".to_owned()),
+    }
+    Ok(told)
 }
 
 /// One instance of the board's form, as a member.
@@ -89,32 +114,45 @@
 #[derive(Default)]
 pub struct Events {
     line: Vec<u8>,
-    id: String,
+    id: Option<String>,
     data: String,
 }
 
+/// What a byte of the stream completes.
+#[derive(Debug, PartialEq)]
+pub enum Said {
+    /// Nothing yet, or what means nothing here.
+    Nothing,
+    /// A comment.
+    Comment,
+    /// An event: its own id, where it has one, and its data.
+    Event(Option<String>, String),
+}
+
 impl Events {
-    /// Takes one byte; an event's id and data once its empty line has come.
-    pub fn byte(&mut self, byte: u8) -> Option<(String, String)> {
+    /// Takes one byte. An id does not go over to the next event: one that has none would pass for a repeat.
+    pub fn byte(&mut self, byte: u8) -> Said {
         if byte != b'\n' {
             self.line.push(byte);
-            return None;
+            return Said::Nothing;
         }
         let line = String::from_utf8_lossy(&std::mem::take(&mut self.line)).into_owned();
         let line = line.strip_suffix('\r').unwrap_or(&line);
         let value = |rest: &str| rest.strip_prefix(' ').unwrap_or(rest).to_owned();
         if line.is_empty() {
-            let (id, data) = (self.id.clone(), std::mem::take(&mut self.data));
-            return (!data.is_empty()).then_some((id, data));
+            let (id, data) = (self.id.take(), std::mem::take(&mut self.data));
+            return if data.is_empty() { Said::Nothing } else { Said::Event(id, data) };
+        } else if line.starts_with(':') {
+            return Said::Comment;
         } else if let Some(rest) = line.strip_prefix("id:") {
-            self.id = value(rest);
+            self.id = Some(value(rest));
         } else if let Some(rest) = line.strip_prefix("data:") {
             if !self.data.is_empty() {
                 self.data.push('\n');
             }
             self.data.push_str(&value(rest));
         }
-        None // comments and other fields mean nothing here
+        Said::Nothing // other fields mean nothing here
     }
 
     fn size(&self) -> usize {
@@ -143,61 +181,81 @@
     }
 }
 
-/// How far the board's events have been read.
-struct Seen {
-    /// Number of the last event.
-    last: u64,
-    /// The event after it could not be read, the last time it came.
-    spoilt: Option<u64>,
-}
-
-/// Follows the board for ever: whenever the connection ends or the board moves it calls again, telling the
-/// last event seen.
-pub fn follow(board: &Board, last: u64, seed: u64, limits: &Limits, core: &Sender<Message>) {
+/// Follows the board for ever: whenever the connection ends, the board moves or has told nothing for long, it is
+/// called again, telling the last event seen.
+pub fn follow(board: &Board, mut watch: Watch, seed: u64, limits: &Limits, core: &Sender<Message>) {
     let mut redial = Redial::new(seed, limits);
-    let mut seen = Seen { last, spoilt: None };
     loop {
-        let (at, before) = (board.address(), seen.last);
+        let (at, before) = (board.address(), watch.last());
+        let mut ended = End::Broke("no board is named".to_owned());
         if let Some(address) = at {
-            if let Err(why) = poll(board, address, &mut seen, limits, core) {
-                note!("board: connection to {address} ended after event {}: {why}", seen.last);
+            ended = poll(board, address, &mut watch, redial.told_within(), limits, core);
+            if let End::Broke(why) = &ended {
+                note!("board: connection to {address} ended after event {}: {why}", watch.last());
             }
         }
         // Called again at once, unless the call brought nothing: a board that is down is not hammered.
-        let nothing = seen.last == before && board.address() == at;
-        let wait = if nothing { redial.after_failure() } else { redial.after_news() };
+        let wait = match ended {
+            End::Quiet => Duration::ZERO,
+            End::Broke(_) if watch.last() == before && board.address() == at => redial.after_failure(),
+            End::Broke(_) => redial.after_news(),
+        };
         if !wait.is_zero() {
             may::coroutine::sleep(wait);
         }
     }
 }
 
+/// Why a call of the board ended.
+enum End {
+    /// It told nothing for long, though it stood: it may tell nothing more at all.
+    Quiet,
+    /// The connection ended, or what came on it cannot be used.
+    Broke(String),
+}
+
+impl From<String> for End {
+    fn from(why: String) -> End {
+        End::Broke(why)
+    }
+}
+
 fn poll(
-    board: &Board, address: SocketAddr, seen: &mut Seen, limits: &Limits, core: &Sender<Message>,
-) -> Result<(), String> {
+    board: &Board, address: SocketAddr, watch: &mut Watch, within: Duration, limits: &Limits,
+    core: &Sender<Message>,
+) -> End {
+    let Err(end) = call(board, address, watch, within, limits, core);
+    end
+}
+
+fn call(
+    board: &Board, address: SocketAddr, watch: &mut Watch, within: Duration, limits: &Limits,
+    core: &Sender<Message>,
+) -> Result<std::convert::Infallible, End> {
     let told = |e: std::io::Error| e.to_string();
     let mut stream = TcpStream::connect_timeout(&address, limits.connect).map_err(told)?;
     stream.set_read_timeout(Some(limits.board_check)).map_err(told)?;
+    let last = watch.ask();
     let call = format!(
-        "GET /board/poll HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
-        seen.last
+        "GET /board/poll HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {last}\r\n\r\n"
     );
     stream.write_all(call.as_bytes()).map_err(told)?;
+    let mut news = Instant::now();
     let mut heard = Instant::now();
     let (mut ring, mut head) = (Ring::new(limits.client_ring), Vec::new());
     let mut chunked: Option<Option<Chunked>> = None; // known once the head has been read
     let (mut events, mut line) = (Events::default(), Vec::new());
     loop {
         match ring.fill(&mut stream) {
-            Ok(0) => return Err("closed".to_owned()),
+            Ok(0) => return Err("closed".to_owned().into()),
             Ok(_) => heard = Instant::now(),
             Err(e) if timed_out(&e) && heard.elapsed() < limits.board_silence => {}
-            Err(e) if timed_out(&e) => return Err("silent".to_owned()),
-            Err(e) => return Err(e.to_string()),
+            Err(e) if timed_out(&e) => return Err("silent".to_owned().into()),
+            Err(e) => return Err(e.to_string().into()),
         }
         // Guards against waiting at an address where nothing is told any more.
         if board.address() != Some(address) {
-            return Err("the board has moved".to_owned());
+            return Err("the board has moved".to_owned().into());
         }
         line.clear();
         ring.take(usize::MAX, &mut line);
@@ -208,54 +266,40 @@
                     if head.ends_with(b"\r\n\r\n") {
                         let answer = Head::answer(&head)?;
                         if answer.status != 200 {
-                            return Err(format!("status {}", answer.status));
+                            return Err(format!("status {}", answer.status).into());
                         }
                         chunked = Some(answer.chunked.then(Chunked::default));
                     } else if head.len() > limits.head {
-                        return Err("the answer's head is too long".to_owned());
+                        return Err("the answer's head is too long".to_owned().into());
                     }
                 }
                 Some(coding) => {
                     let content = match coding.as_mut().map_or(Ok(Coded::Byte(byte)), |c| c.byte(byte))? {
                         Coded::Byte(byte) => Some(byte),
                         Coded::Nothing => None,
-                        Coded::End => return Err("the stream ended".to_owned()),
+                        Coded::End => return Err("the stream ended".to_owned().into()),
+                    };
+                    let told = match content.map_or(Said::Nothing, |b| events.byte(b)) {
+                        Said::Nothing => None,
+                        Said::Comment => watch.comment()?,
+                        Said::Event(id, data) => {
+                            news = Instant::now();
+                            watch.event(id.as_deref(), &data)?
+                        }
                     };
-                    if let Some((id, data)) = content.and_then(|b| events.byte(b)) {
-                        tell(&id, &data, seen, core)?;
+                    if let Some(News { full, members }) = told {
+                        let _ = core.send(Message::Members { source: Speech::Frames, full, members });
                     }
                     if events.size() > limits.board_event {
-                        return Err("an event is too long".to_owned());
+                        return Err("an event is too long".to_owned().into());
                     }
                 }
             }
         }
-    }
-}
-
-/// Passes an event on, once.
-fn tell(id: &str, data: &str, seen: &mut Seen, core: &Sender<Message>) -> Result<(), String> {
-    let number = id.parse().map_err(|_| format!("an event without a number: {id}"))?;
-    // Guards against events written twice: an old one would undo what came after it.
-    if number <= seen.last {
-        return Ok(());
-    }
-    let event = match parse(data) {
-        Ok(Value::Object(event)) => notice(&event),
-        _ => Err("it is no JSON object".to_owned()),
-    };
-    match event {
-        Ok((full, members)) => {
-            let _ = core.send(Message::Members { source: Speech::Frames, full, members });
-        }
-        // Asked for once more, as it may have been spoilt on its way; the second time it is passed over, or
-        // the board would be called for it for ever.
-        Err(why) if seen.spoilt != Some(number) => {
-            seen.spoilt = Some(number);
-            return Err(format!("event {number}: {why}"));
+        // Guards against a watch that stands and comments and has nothing told any more: what the board has to
+        // tell counts as told though it never came. Asked last, so that what has come is not asked for again.
+        if news.elapsed() >= within {
+            return Err(End::Quiet);
         }
-        Err(why) => note!("board: event {number} skipped: {why}"),
     }
-    seen.last = number;
-    Ok(())
 }
--- a/wrenseam/tests/board.rs
+++ b/wrenseam/tests/board.rs
@@ -57,6 +57,30 @@
     board send 3 w1 draining
     list expect w1 draining"
 )]
+// Its sound part is used though it comes spoilt for good, and what is unfit is asked for again.
+#[case::spoilt_twice(
+    "
+    board expect 1
+    board send 2 w0 asleep
+    board expect 1
+    board send 2 w0 asleep
+    board send 3 w1 draining
+    list expect w1 draining
+    board chatter
+    board expect 1
+    board send 2 w0 draining
+    list expect w0 draining
+    list expect w1 draining"
+)]
+// It stands and comments, and what it has to tell never comes there.
+#[case::comments_only(
+    "
+    board expect 1
+    board chatter
+    board expect 1
+    board send 2 w0 draining
+    list expect w0 draining"
+)]
 // A stop with the connection open.
 #[case::silent(
     "
--- a/wrenseam/tests/codecs.rs
+++ b/wrenseam/tests/codecs.rs
@@ -5,7 +5,7 @@
 use wrenseam::core::Speech;
 use wrenseam::http::{Chunked, Coded, Head};
 use wrenseam::ring::Ring;
-use wrenseam::roster::{endpoints, notice, Events};
+use wrenseam::roster::{endpoints, instances, Events, Said};
 use wrenseam::worker::frames::Decoder;
 
 fn answer(code: u8, body: &[u8]) -> Vec<u8> {
@@ -46,10 +46,11 @@
 #[test]
 fn events_of_the_board_are_read() {
     let mut events = Events::default();
-    let text = ": comment\nid: 7\r\ndata: {\"a\":\r\ndata: 1}\r\n\r\n: more\n\nid:8\ndata:x\n\n";
-    let found: Vec<_> = text.bytes().filter_map(|b| events.byte(b)).collect();
-    let pair = |id: &str, data: &str| (id.to_owned(), data.to_owned());
-    assert_eq!(found, [pair("7", "{\"a\":\n1}"), pair("8", "x")]);
+    let text = ": comment\nid: 7\r\ndata: {\"a\":\r\ndata: 1}\r\n\r\n: more\n\nid:8\ndata:x\n\ndata:y\n\n";
+    let found: Vec<_> = text.bytes().map(|b| events.byte(b)).filter(|s| *s != Said::Nothing).collect();
+    let event = |id: Option<&str>, data: &str| Said::Event(id.map(str::to_owned), data.to_owned());
+    let (first, second, third) = (event(Some("7"), "{\"a\":\n1}"), event(Some("8"), "x"), event(None, "y"));
+    assert_eq!(found, [Said::Comment, first, Said::Comment, second, third]);
 }
 
 /// What others can cause at full speed is written a few times a second, then counted.
@@ -86,9 +87,16 @@
     let text = r#"{"rev":41,"pool":{"generation":7,"reset":true,"instances":[{"instanceId":"s-1","hostPort":
         "127.0.0.1:9","zone":"east","machineType":"std","cell":2,"lifecycle":"draining","startedAtMs":5}]}}"#;
     let json = parse(text).expect("JSON");
-    let (full, members) = notice(object(&json).expect("an object")).expect("sound");
-    let m = &members[0];
-    assert!(full && m.state == WorkerState::Draining && m.started_at == 5_000 && m.cell == 2, "{m:?}");
+    let told = instances(object(&json).expect("an object")).expect("sound");
+    let m = &told.members[0];
+    assert!(
+        told.full
+            && told.faults.is_empty()
+            && m.state == WorkerState::Draining
+            && m.started_at == 5_000
+            && m.cell == 2,
+        "{m:?}"
+    );
 }
 
 /// Envoy's rules: an endpoint of unknown health takes work, one that drains takes nothing new.
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -16,6 +16,7 @@
 //!     worker close                           ends the last call's connection
 //!     board expect LAST                      the next call at the board named now, telling this last event
 //!     board send ID WORKER STATE             an event on the connection of the last call
+//!     board chatter                          comments on it from now on, and tells nothing more
 //!     board close                            ends it
 //!     list expect WORKER STATE               the program comes to hold this of a worker, or `absent`
 //!     program reload [broken]                names the other board (a file that cannot be read); SIGHUP
@@ -258,6 +259,14 @@
                     let event = format!("id: {id}\ndata: {event}\n\n");
                     told.as_ref().expect(&context).write_all(event.as_bytes()).expect("written");
                 }
+                ["board", "chatter"] => {
+                    let mut to = told.as_ref().expect(&context).try_clone().expect("cloned");
+                    std::thread::spawn(move || {
+                        while to.write_all(b": here\n\n").is_ok() {
+                            std::thread::sleep(Duration::from_millis(100));
+                        }
+                    });
+                }
                 ["board", "close"] => told.as_ref().expect(&context).shutdown(Shutdown::Both).expect("open"),
                 ["list", "expect", worker, state] => self.listed(worker, state, &context),
                 ["program", "reload", ref how @ ..] => self.reload(how == ["broken"]),
