One word of state decides whether a waiting call is begun, taken back or for nobody

Causes, by reading worker/frames.rs and core/mod.rs: - A frame in a connection's ring of which no byte was written could not be taken back: a cancel only added a give-up behind it (fill(), Command::Cancel), so a call whose client had left went out once a stalled write went on; without may-cancel the module gives no cancel at all, and the call went out when a late connection came up. - Due::Attempt told Timeout (may have run) of a call that was never written, so a class that must never run twice failed where a resend was proved safe. - withhold() truncated the ring from the first withheld call on, and with it give-ups and unloads behind it: a cancel lost. - Two attempts of one request at one worker shared connection and wire id: a late or second answer to the first ended the second, which still ran. - apply() dropped the transport of a member that moved, and closed connections with calls out on them; cancels went to the new transport.

Change: worker/ticket.rs (no I/O): core, front and writer meet in one compare-exchange a call; begun or not is known for each frame of the ring, and any unbegun one can be cut. A request carries a mark that its front sets when the client leaves. A wire id is not used twice on a connection while its client may wait. Former transports stay until all on them has ended.

Ruled out: a cancel that crosses the answer (the table's entry is taken once, Core::end drops what has ended).

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -73,6 +73,29 @@
 struct Peer {
     member: Member,
     transport: Box<dyn Transport>,
+    /// The ways to where it stood before: they take nothing new, and stay until what is open there has ended.
+    former: Vec<Box<dyn Transport>>,
+}
+
+impl Peer {
+    fn each(&mut self) -> impl Iterator<Item = &mut Box<dyn Transport>> {
+        std::iter::once(&mut self.transport).chain(&mut self.former)
+    }
+
+    /// Gives an attempt up, wherever it is. True proves that nothing of it was or will be written.
+    fn cancel(&mut self, key: AttemptKey) -> bool {
+        // Not `any`, which would pass over the others after the first.
+        self.each().fold(false, |back, t| t.cancel(key) | back)
+    }
+
+    fn is_idle(&self) -> bool {
+        self.transport.is_idle() && self.former.iter().all(|t| t.is_idle())
+    }
+
+    fn sweep(&mut self) {
+        self.each().for_each(|t| t.sweep());
+        self.former.retain(|t| !t.is_idle());
+    }
 }
 
 #[derive(Clone, Default)]
@@ -295,6 +318,8 @@
     fn close(&mut self, id: u64) -> Option<(Arc<dyn Client>, u64, Option<usize>)> {
         let open = self.requests.get_mut(&id).filter(|o| !o.answered)?;
         open.answered = true;
+        // What of it still waits to be written is for nobody.
+        open.request.gone.store(true, Ordering::Release);
         let (client, tag, tenant) = (open.client.clone(), open.tag, open.tenant);
         self.wire_ids.remove(&open.request.wire_id);
         self.by_client.remove(&(client.connection(), tag));
@@ -371,17 +396,18 @@
                 // Guards against workers that vanish without a word: our own clock ends what is out there.
                 let open = self.requests.get(&key.request).and_then(|o| o.attempts.get(key.attempt));
                 if let Some(attempt) = open.filter(|a| a.open) {
-                    if let Some(peer) = self.peers.get_mut(&attempt.worker) {
-                        peer.transport.cancel(key);
-                    }
-                    self.ended(key, Report::bare(Outcome::Timeout));
+                    let peer = self.peers.get_mut(&attempt.worker);
+                    // What was taken back in time has not run: its class may allow more.
+                    let back = peer.is_some_and(|p| p.cancel(key));
+                    let outcome = if back { Outcome::ConnectFailed } else { Outcome::Timeout };
+                    self.ended(key, Report::bare(outcome));
                 }
             }
             Due::Order(order) => {
                 // Guards connections: one that waits for the answer to a lost order would never be idle.
                 let worker = self.orders.get(&order).map(|o| &o.0);
                 if let Some(peer) = worker.and_then(|w| self.peers.get_mut(w)) {
-                    peer.transport.lapse(order);
+                    peer.each().for_each(|t| t.lapse(order));
                 }
                 self.ordered(order, Outcome::Timeout, 0);
             }
@@ -393,16 +419,16 @@
                 let (now, every) = (self.clock.now(), self.limits.link_check);
                 // Guards sound connections from our own stand-still: what came meanwhile is not read yet.
                 if now < self.pulsed + 2 * every {
-                    self.peers.values_mut().for_each(|p| p.transport.pulse());
+                    self.peers.values_mut().flat_map(Peer::each).for_each(|t| t.pulse());
                     self.trim(0);
                 }
                 self.pulsed = now;
                 self.timers.set(now + every, Due::Pulse);
             }
             Due::Sweep => {
-                self.peers.values_mut().for_each(|p| p.transport.sweep());
+                self.peers.values_mut().for_each(Peer::sweep);
                 // Guards memory: workers are replaced by new ones all day long.
-                let here = |p: &Peer| p.member.state != WorkerState::Gone || !p.transport.is_idle();
+                let here = |p: &Peer| p.member.state != WorkerState::Gone || !p.is_idle();
                 self.peers.retain(|id, p| {
                     let here = here(p);
                     if !here {
@@ -433,9 +459,10 @@
             Action::Cancel { id, attempt } => {
                 let key = AttemptKey { request: id, attempt };
                 let of = self.requests.get(&id).and_then(|o| o.attempts.get(attempt)).filter(|a| a.open);
-                if let Some(peer) = of.and_then(|a| self.peers.get_mut(&a.worker)) {
-                    peer.transport.cancel(key);
-                    self.end(key, Report::bare(Outcome::Cancelled));
+                if let Some(attempt) = of {
+                    let back = self.peers.get_mut(&attempt.worker).is_some_and(|p| p.cancel(key));
+                    let outcome = if back { Outcome::Moot } else { Outcome::Cancelled };
+                    self.end(key, Report::bare(outcome));
                     self.forget(id);
                 }
             }
@@ -484,7 +511,8 @@
     /// Closes idle connections until `more` may be opened; false if too many are in use.
     fn trim(&mut self, more: usize) -> bool {
         let clients = self.shared.clients.load(Ordering::Acquire);
-        let open: usize = self.peers.values().map(|p| p.transport.connections().0).sum();
+        let each = self.peers.values_mut().flat_map(Peer::each);
+        let open: usize = each.map(|t| t.connections().0).sum();
         let over = self.limits.pool.over(open, more, clients);
         if over == 0 {
             return true;
@@ -515,7 +543,8 @@
         match self.peers.get_mut(&worker).filter(ready) {
             // Nothing ran, and this worker is left alone for a while.
             Some(_) if !room => self.end(key, Report::bare(Outcome::Full)),
-            Some(peer) if !open.answered && budget > 0 && allowed => {
+            // (A client that left is known to its front before it is told here.)
+            Some(peer) if !open.request.gone.load(Ordering::Acquire) && budget > 0 && allowed => {
                 peer.transport.send(key, &open.request, budget);
                 if let Some(attempt) = open.attempts.last_mut() {
                     attempt.carried = true;
@@ -550,17 +579,22 @@
                 cell: member.cell,
             });
             eprintln!("member {}: {:?} at {}", member.id, member.state, member.address);
-            if let Some(peer) = self.peers.get_mut(&member.id) {
+            let mut former = Vec::new();
+            if let Some(mut peer) = self.peers.remove(&member.id) {
                 if duty != Duty::Keep {
                     peer.transport.retire();
                 }
                 if duty != Duty::Reach {
                     peer.member = member;
+                    self.peers.insert(peer.member.id.clone(), peer);
                     continue;
                 }
+                // What is open at its former place ends there, and cancels find it.
+                former = peer.former;
+                former.push(peer.transport);
             }
             let to = transport(member.speech, member.address, &self.limits, &self.reports);
-            self.peers.insert(member.id.clone(), Peer { member, transport: to });
+            self.peers.insert(member.id.clone(), Peer { member, transport: to, former });
         }
         if !entries.is_empty() {
             self.events.push_back(Event::Members { full: false, entries });
--- a/wrenseam/src/core/types.rs
+++ b/wrenseam/src/core/types.rs
@@ -2,6 +2,7 @@
 use crate::limits::Held;
 use bramblepath::{FunctionId, Micros, Outcome, WorkerState};
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -52,6 +53,8 @@
     pub payload: Payload,
     /// The body's share of the bytes held.
     pub held: Option<Held>,
+    /// Set by the front once its client has left: what has not begun to be sent on by then is not.
+    pub gone: Arc<AtomicBool>,
 }
 
 /// The one final answer.
--- a/wrenseam/src/front/fastcgi.rs
+++ b/wrenseam/src/front/fastcgi.rs
@@ -7,6 +7,7 @@
 use may::net::TcpStream;
 use may::sync::Mutex;
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -96,8 +97,18 @@
 struct Side {
     occupant: Arc<Occupant>,
     out: Outbox,
-    /// Requests that are owed an answer, by FastCGI id: which use of the id, and whether to close behind it.
-    live: Mutex<HashMap<u16, (u64, bool)>>,
+    /// Requests that are owed an answer, by FastCGI id.
+    live: Mutex<HashMap<u16, Live>>,
+}
+
+/// A request that is owed an answer.
+struct Live {
+    /// Which use of its id it is.
+    used: u64,
+    /// Whether to close behind the answer.
+    close: bool,
+    /// To be set once the client gives it up: what of it waits to be sent on then is not.
+    gone: Arc<AtomicBool>,
 }
 
 impl Client for Side {
@@ -105,8 +116,10 @@
         // Guards against answering what was given up, or the next request under the same id.
         let id = tag as u16;
         let Ok(mut live) = self.live.lock() else { return };
-        let Some(&(_, close)) = live.get(&id).filter(|l| l.0 == tag >> 16) else { return };
-        live.remove(&id);
+        if live.get(&id).is_none_or(|l| l.used != tag >> 16) {
+            return;
+        }
+        let Some(Live { close, .. }) = live.remove(&id) else { return };
         drop(live);
         self.occupant.ended(!matches!(answer, Answer::Failed));
         self.out.send(answer_bytes(id, &answer));
@@ -165,6 +178,9 @@
     if let Err(why) = reader.run(stream) {
         note!("fastcgi {peer}: connection closed: {why}");
     }
+    if let Ok(live) = side.live.lock() {
+        live.values().for_each(|l| l.gone.store(true, Ordering::Release));
+    }
     let _ = doors.core.send(Message::Hangup(seat.occupant.number)); // the core only ends with the program
     side.out.close();
 }
@@ -345,7 +361,8 @@
     fn abort(&mut self, id: u16) {
         self.partial.remove(&id);
         let Ok(mut live) = self.side.live.lock() else { return };
-        if let Some((used, _)) = live.remove(&id) {
+        if let Some(Live { used, gone, .. }) = live.remove(&id) {
+            gone.store(true, Ordering::Release);
             let tag = used << 16 | u64::from(id);
             self.side.occupant.ended(false);
             let _ = self.doors.core.send(Message::Withdrawn(self.side.occupant.number, tag));
@@ -399,7 +416,7 @@
             }
             return;
         }
-        if self.doors.shared.stopping.load(std::sync::atomic::Ordering::Acquire) {
+        if self.doors.shared.stopping.load(Ordering::Acquire) {
             // The process ends soon: what comes now could not be served in time here, another takes it.
             if let Ok(request) = neutral(path, &word, partial.body, &self.doors.limits) {
                 let _ = self.doors.core.send(Message::Tally(request.class, Ended::Rejected));
@@ -417,7 +434,7 @@
             Ok(request) => {
                 self.uses += 1;
                 if let Ok(mut live) = self.side.live.lock() {
-                    live.insert(id, (self.uses, close));
+                    live.insert(id, Live { used: self.uses, close, gone: request.gone.clone() });
                 }
                 let tag = self.uses << 16 | u64::from(id);
                 self.side.occupant.opened();
@@ -462,5 +479,6 @@
         load_time: (told.load_ms * 1000.0) as u64,
         payload: Payload::Bytes(body),
         held: None,
+        gone: Arc::default(),
     })
 }
--- a/wrenseam/src/front/kserve.rs
+++ b/wrenseam/src/front/kserve.rs
@@ -11,6 +11,7 @@
 use may::sync::Mutex;
 use miniserde::json::{self, Object, Value};
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -48,6 +49,8 @@
     tag: u64,
     close: bool,
     ready: Option<Vec<u8>>,
+    /// To be set once the client has left: what waits to be sent on then is not.
+    gone: Arc<AtomicBool>,
 }
 
 struct Side {
@@ -108,6 +111,9 @@
     if let Err(why) = reader.run(stream) {
         note!("{front} {peer}: connection closed: {why}");
     }
+    if let Ok(slots) = side.slots.lock() {
+        slots.iter().for_each(|s| s.gone.store(true, Ordering::Release));
+    }
     let _ = doors.core.send(Message::Hangup(seat.occupant.number)); // the core only ends with the program
     side.out.close();
 }
@@ -218,7 +224,7 @@
     /// The answer to what cannot be read; the connection ends behind it.
     fn last(&self, tag: u64, status: &'static str, why: &str) {
         if let Ok(mut slots) = self.side.slots.lock() {
-            slots.push_back(Slot { tag: tag + 1, close: true, ready: None });
+            slots.push_back(Slot { tag: tag + 1, close: true, ready: None, gone: Arc::default() });
         }
         self.side.fill(tag + 1, |close| response(status, "", &error(why), close));
     }
@@ -229,7 +235,7 @@
             if slots.len() >= self.doors.limits.requests_per_connection {
                 return Err("too many requests on one connection".to_owned());
             }
-            slots.push_back(Slot { tag, close: head.close, ready: None });
+            slots.push_back(Slot { tag, close: head.close, ready: None, gone: Arc::default() });
         }
         if let Reply::Now(status, body) = (self.handle)(self, tag, head, body) {
             self.side.occupant.heard();
@@ -296,13 +302,17 @@
             return refuse("503 Service Unavailable", "too many bytes are held");
         };
         match neutral(name, body, &self.doors.limits) {
-            Ok(request) if self.doors.shared.stopping.load(std::sync::atomic::Ordering::Acquire) => {
+            Ok(request) if self.doors.shared.stopping.load(Ordering::Acquire) => {
                 // As on the other front: the process ends soon, another takes what comes now.
                 let _ = self.doors.core.send(Message::Tally(request.class, Ended::Rejected));
                 refuse("503 Service Unavailable", "the front end is ending")
             }
             Ok(request) => {
                 let request = Request { read_at, held: Some(held), ..request };
+                let slots = self.side.slots.lock();
+                if let Some(slot) = slots.ok().as_mut().and_then(|s| s.iter_mut().find(|s| s.tag == tag)) {
+                    slot.gone = request.gone.clone();
+                }
                 self.side.occupant.opened();
                 let _ = self.doors.core.send(Message::Request(request, self.side.clone(), tag));
                 Reply::Later
@@ -374,5 +384,6 @@
         load_time: (figures.load_ms * 1000.0) as u64,
         payload: Payload::Json(body),
         held: None,
+        gone: Arc::default(),
     })
 }
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -75,6 +75,8 @@
     pub link_again: u32,
     /// ... and has ended if none comes within this.
     pub link_answer: Duration,
+    /// Answers to a call may still come so long after its client left.
+    pub late_answer: Duration,
     /// How often worker connections are looked at for that.
     pub link_check: Micros,
     /// How often a stalled write looks for cancels and drains.
@@ -150,6 +152,7 @@
             link_quiet: Duration::from_millis(if large { 300 } else { 200 }), // answered in a few ms under load too
             link_again: if large { 90 } else { 50 },
             link_answer: Duration::from_millis(200),
+            late_answer: Duration::from_secs(1),
             link_check: 50_000,
             write_check: Duration::from_millis(50),
             order: if settings.order_timeout > 0 { settings.order_timeout } else { 10_000_000 },
--- a/wrenseam/src/ring.rs
+++ b/wrenseam/src/ring.rs
@@ -88,6 +88,15 @@
         self.len = self.len.min(len);
     }
 
+    /// Lets go of `len` bytes that begin `at` bytes behind the oldest.
+    pub fn cut(&mut self, at: usize, len: usize) {
+        let mut all = Vec::with_capacity(self.len);
+        self.take(usize::MAX, &mut all);
+        let at = at.min(all.len());
+        all.drain(at..(at + len).min(all.len()));
+        self.push(&all);
+    }
+
     /// One read into the free space; 0 is the end of the stream. Call only while something is free.
     pub fn fill(&mut self, from: &mut impl Read) -> io::Result<usize> {
         if self.len == self.bytes.len() {
@@ -132,6 +141,11 @@
         assert_eq!(out, (0..next).collect::<Vec<u8>>());
         ring.truncate(1);
         assert_eq!((ring.front(), ring.free()), (&[9u8][..], 6));
+        ring.push(&[1, 2, 3, 4]);
+        ring.cut(1, 3);
+        out.clear();
+        ring.take(7, &mut out);
+        assert_eq!(out, [9, 4]);
     }
 
     #[test]
--- a/wrenseam/src/worker/frames.rs
+++ b/wrenseam/src/worker/frames.rs
@@ -1,4 +1,5 @@
 //! The platform's binary frames: attempts, orders and cancels over shared connections to one worker.
+use super::ticket::{Cut, Line, Ticket};
 use super::{Reports, Transport};
 use crate::core::{AttemptKey, Payload, Report, Request};
 use crate::limits::Limits;
@@ -8,7 +9,7 @@
 use may::net::TcpStream;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use may::sync::Mutex;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -113,7 +114,7 @@
     })
 }
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
 enum What {
     Attempt(AttemptKey),
     Order(u64),
@@ -123,25 +124,30 @@
 
 /// What is to be written. Calls and orders to load wait for the connection, and may not go after a drain.
 enum Command {
-    Open {
-        what: What,
-        id: u64,
-        function: FunctionId,
-        frame: Vec<u8>,
-        bound: bool,
-    },
+    Open(Opening),
     Cancel(What),
     Plain(Vec<u8>),
     /// Ends the connection.
     Close,
 }
 
-/// An exchange of which at least a byte may be on its way: where in the stream its frame ends.
+/// A frame that opens an exchange.
+struct Opening {
+    what: What,
+    id: u64,
+    function: FunctionId,
+    frame: Vec<u8>,
+    bound: bool,
+    ticket: Arc<Ticket>,
+}
+
+/// An exchange in the ring or out: where in the stream its frame ends.
 struct Exchange {
     what: What,
     end: u64,
     since: Instant,
     function: FunctionId,
+    ticket: Arc<Ticket>,
 }
 
 #[derive(Default)]
@@ -169,6 +175,18 @@
     used: Instant,
     /// When it was asked for a word that has not come.
     asked: Option<Instant>,
+    /// What was handed to it and may still be taken back.
+    tickets: HashMap<What, Arc<Ticket>>,
+    /// The ids of calls that it carried, and until when one of them may come again.
+    carried: HashMap<u64, Instant>,
+}
+
+impl Link {
+    /// Since when no byte went or came here that we know of.
+    fn quiet_since(&self) -> Instant {
+        let heard = self.state.table.lock().ok().and_then(|t| t.heard);
+        heard.map_or(self.used, |h| h.max(self.used))
+    }
 }
 
 /// The transport to one worker.
@@ -185,21 +203,26 @@
         Frames { address, limits, reports, links: Vec::new() }
     }
 
-    /// Whether a connection takes one more exchange.
+    /// Whether a connection takes one more exchange. One that has lain idle for long is not taken even where the
+    /// sweep has not closed it yet: the worker may be closing it just now.
     fn usable(&self, l: &Link) -> bool {
         let state = &l.state;
+        let load = state.load.load(Ordering::Acquire);
         !state.broken.load(Ordering::Acquire)
             && !state.retired.load(Ordering::Acquire)
-            && state.load.load(Ordering::Acquire) < self.limits.streams
+            && load < self.limits.streams
+            && (load > 0 || l.quiet_since().elapsed() <= self.limits.worker_idle)
     }
 
     fn idle(l: &Link) -> bool {
         !l.state.broken.load(Ordering::Acquire) && l.state.load.load(Ordering::Acquire) == 0
     }
 
-    /// A connection with room, a new one if need be.
-    fn link(&mut self) -> &mut Link {
-        let at = self.links.iter().position(|l| self.usable(l)).unwrap_or_else(|| {
+    /// A connection with room, a new one if need be. None that carried this id before: an answer to the first
+    /// exchange under it that comes late, or twice, would be taken for the second's.
+    fn link(&mut self, id: Option<u64>) -> &mut Link {
+        let fresh = |l: &Link| id.is_none_or(|id| !l.carried.contains_key(&id));
+        let at = self.links.iter().position(|l| self.usable(l) && fresh(l)).unwrap_or_else(|| {
             let (commands, queue) = channel();
             let state = Arc::new(State::default());
             let (address, limits) = (self.address, self.limits.clone());
@@ -208,25 +231,38 @@
             if let Err(e) = started {
                 note!("worker {address}: no coroutine: {e}"); // the commands' timers end them
             }
-            self.links.push(Link { commands, state, used: Instant::now(), asked: None });
+            let (tickets, carried) = (HashMap::new(), HashMap::new());
+            self.links.push(Link { commands, state, used: Instant::now(), asked: None, tickets, carried });
             self.links.len() - 1
         });
         self.links[at].used = Instant::now();
         &mut self.links[at]
     }
 
-    fn give_up(&self, what: What) {
-        // Which connection carries it is known to its writer only; the others pass over it.
-        for link in self.links.iter().filter(|l| !l.state.broken.load(Ordering::Acquire)) {
-            let _ = link.commands.send(Command::Cancel(what));
+    /// Gives an exchange up. True proves that nothing of it was or will be written.
+    fn give_up(&mut self, what: What) -> bool {
+        let Some((link, ticket)) =
+            self.links.iter_mut().find_map(|l| Some((l.tickets.remove(&what)?, l))).map(|(t, l)| (l, t))
+        else {
+            return false;
+        };
+        if ticket.take_back() {
+            link.state.load.fetch_sub(1, Ordering::AcqRel);
+            return true;
         }
+        let _ = link.commands.send(Command::Cancel(what));
+        false
     }
 
-    fn open(&mut self, what: What, id: u64, function: FunctionId, bound: bool, frame: Vec<u8>) {
-        let link = self.link();
+    fn open(&mut self, opening: Opening, until: Option<Instant>) {
+        let (what, ticket) = (opening.what, opening.ticket.clone());
+        let link = self.link(until.map(|_| opening.id));
         link.state.load.fetch_add(1, Ordering::AcqRel);
-        let _ = link.commands.send(Command::Open { what, id, function, frame, bound });
-        // its timer ends it at last
+        link.tickets.insert(what, ticket);
+        if let Some(until) = until {
+            link.carried.insert(opening.id, until);
+        }
+        let _ = link.commands.send(Command::Open(opening)); // its timer ends it at last
     }
 }
 
@@ -254,12 +290,17 @@
 
 impl Transport for Frames {
     fn send(&mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros) {
-        let frame = encode(CALL, request.wire_id, &call_fields(request, budget), request.payload.bytes());
-        self.open(What::Attempt(key), request.wire_id, request.function, true, frame);
+        let (id, function) = (request.wire_id, request.function);
+        let frame = encode(CALL, id, &call_fields(request, budget), request.payload.bytes());
+        let ticket = Ticket::new(request.gone.clone(), Instant::now() + Duration::from_micros(budget));
+        let what = What::Attempt(key);
+        // Its id may come again as long as its client waits, and answers to it a little longer.
+        let until = request.read_at + Duration::from_micros(request.wait) + self.limits.late_answer;
+        self.open(Opening { what, id, function, frame, bound: true, ticket }, Some(until));
     }
 
-    fn cancel(&mut self, key: AttemptKey) {
-        self.give_up(What::Attempt(key));
+    fn cancel(&mut self, key: AttemptKey) -> bool {
+        self.give_up(What::Attempt(key))
     }
 
     fn lapse(&mut self, order: u64) {
@@ -274,12 +315,17 @@
         // Orders' ids come from the far end of the range, away from chance: clients draw theirs at random.
         let id = u64::MAX - order;
         let frame = hold(id, function, copies);
-        self.open(What::Order(order), id, function, copies > 0, frame);
+        // Guards the ration: it counts an order when it arrives, and several that a late connection held back would
+        // arrive in one span.
+        let ticket =
+            Ticket::new(Arc::default(), Instant::now() + self.limits.connect + self.limits.write_check);
+        let what = What::Order(order);
+        self.open(Opening { what, id, function, frame, bound: copies > 0, ticket }, None);
     }
 
     fn unload(&mut self, function: FunctionId) {
         let frame = encode(UNLOAD, function, "", &[]);
-        let _ = self.link().commands.send(Command::Plain(frame)); // owed no answer
+        let _ = self.link(None).commands.send(Command::Plain(frame)); // owed no answer
     }
 
     fn retire(&mut self) {
@@ -310,7 +356,9 @@
                         let (id, what) = (u64::MAX / 2 - connection_number(), What::Word);
                         link.state.load.fetch_add(1, Ordering::AcqRel);
                         let frame = hold(id, function, 0);
-                        let _ = link.commands.send(Command::Open { what, id, function, frame, bound: false });
+                        let ticket = Ticket::new(Arc::default(), Instant::now() + limits.link_answer);
+                        let opening = Opening { what, id, function, frame, bound: false, ticket };
+                        let _ = link.commands.send(Command::Open(opening));
                         link.asked = Some(Instant::now());
                     }
                 }
@@ -320,11 +368,13 @@
     }
 
     fn sweep(&mut self) {
-        let idle = self.limits.worker_idle;
+        let (idle, now) = (self.limits.worker_idle, Instant::now());
         // Dropping the sender lets the writer close. Guards against a send that crosses the worker's own close.
-        self.links.retain(|l| {
+        self.links.retain_mut(|l| {
+            l.tickets.retain(|_, t| Arc::strong_count(t) > 1);
+            l.carried.retain(|_, until| *until > now);
             let quiet = l.state.load.load(Ordering::Acquire) == 0;
-            let old = l.used.elapsed() > idle || l.state.retired.load(Ordering::Acquire);
+            let old = quiet && l.quiet_since().elapsed() > idle || l.state.retired.load(Ordering::Acquire);
             !(l.state.broken.load(Ordering::Acquire) || quiet && old)
         });
     }
@@ -335,12 +385,12 @@
     }
 
     fn idle_since(&self) -> Option<Instant> {
-        self.links.iter().filter(|l| Frames::idle(l)).map(|l| l.used).min()
+        self.links.iter().filter(|l| Frames::idle(l)).map(Link::quiet_since).min()
     }
 
     fn close_idle(&mut self) {
         let idle = self.links.iter().enumerate().filter(|(_, l)| Frames::idle(l));
-        if let Some((at, _)) = idle.min_by_key(|(_, l)| l.used) {
+        if let Some((at, _)) = idle.min_by_key(|(_, l)| l.quiet_since()) {
             self.links.swap_remove(at); // dropping the sender lets the writer close
         }
     }
@@ -352,10 +402,9 @@
     reports: Reports,
     limits: Arc<Limits>,
     waiting: VecDeque<Command>,
-    /// Frames in the ring: where in the stream each begins, and what it is if it may not go after a drain.
-    begun: VecDeque<(u64, u64, bool)>,
+    /// The frames in the ring.
+    line: Line,
     ring: Ring,
-    queued: u64,
 }
 
 fn report(reports: &Reports, state: &State, what: What, outcome: Outcome) {
@@ -378,7 +427,9 @@
     let written = state.written.load(Ordering::Acquire);
     for exchange in open.into_values() {
         let outcome = if exchange.end <= written { Outcome::Reset } else { Outcome::ConnectFailed };
-        report(reports, state, exchange.what, outcome);
+        if exchange.ticket.end() {
+            report(reports, state, exchange.what, outcome);
+        }
     }
 }
 
@@ -388,8 +439,8 @@
         reports: Reports,
     ) {
         let ring = Ring::new(limits.worker_ring);
-        let (waiting, begun, queued) = (VecDeque::new(), VecDeque::new(), 0);
-        let mut writer = Writer { state, reports, limits, waiting, begun, ring, queued };
+        let (waiting, line) = (VecDeque::new(), Line::default());
+        let mut writer = Writer { state, reports, limits, waiting, line, ring };
         if let Err(why) = writer.connection(address, &queue) {
             note!("worker {address}: connection ended: {why}");
         }
@@ -404,8 +455,10 @@
     }
 
     fn refuse(&self, command: Command) {
-        if let Command::Open { what, .. } = command {
-            report(&self.reports, &self.state, what, Outcome::ConnectFailed);
+        if let Command::Open(Opening { what, ticket, .. }) = command {
+            if ticket.end() {
+                report(&self.reports, &self.state, what, Outcome::ConnectFailed);
+            }
         }
     }
 
@@ -444,25 +497,28 @@
             if self.waiting.iter().any(|c| matches!(c, Command::Close)) {
                 return Err("given up".to_owned());
             }
-            self.apply_cancels();
             if self.state.retired.load(Ordering::Acquire) {
                 self.withhold();
             }
             self.fill()?;
+            // While writes stall only the next frame is begun: what is behind it can be taken back.
+            let written = self.state.written.load(Ordering::Acquire);
+            let (most, cuts) = self.line.claim(written, Instant::now(), !stalled.is_zero());
+            self.cut(cuts, Outcome::Moot);
             if self.ring.is_empty() {
                 return Ok(());
             }
-            match stream.write(self.ring.front()) {
+            let front = self.ring.front();
+            match stream.write(&front[..most.min(front.len())]) {
                 Ok(0) => return Err("closed".to_owned()),
                 Ok(n) => {
                     stalled = Duration::ZERO;
                     self.ring.consume(n);
                     let written = self.state.written.fetch_add(n as u64, Ordering::AcqRel) + n as u64;
-                    while self.begun.front().is_some_and(|b| b.0 < written) {
-                        self.begun.pop_front();
-                    }
+                    self.line.written(written);
                 }
                 Err(e) if timed_out(&e) => {
+                    self.line.written(written);
                     stalled += self.limits.write_check;
                     if stalled >= self.limits.write_stall {
                         return Err("nothing could be written for long".to_owned());
@@ -473,57 +529,52 @@
         }
     }
 
-    /// Drops cancelled exchanges that still wait; those already begun are given up by a frame of their own.
-    fn apply_cancels(&mut self) {
-        let cancels: Vec<What> = self
-            .waiting
-            .iter()
-            .filter_map(|c| if let Command::Cancel(what) = c { Some(*what) } else { None })
-            .collect();
-        for given_up in cancels {
-            let before = self.waiting.len();
-            self.waiting.retain(|c| !matches!(c, Command::Open { what, .. } if *what == given_up));
-            if self.waiting.len() < before {
-                self.state.load.fetch_sub(1, Ordering::AcqRel);
-            }
+    /// Takes frames out of the ring of which no byte was written; those that had not ended yet end so.
+    fn cut(&mut self, cuts: Vec<Cut>, outcome: Outcome) {
+        if cuts.is_empty() {
+            return;
+        }
+        let Ok(mut table) = self.state.table.lock() else { return };
+        let mut ended = Vec::new();
+        for Cut { at, len, id, ends } in cuts {
+            self.ring.cut(at, len);
+            let exchange = id.and_then(|id| table.open.remove(&id));
+            ended.extend(exchange.filter(|_| ends).map(|e| e.what));
         }
+        for (&id, exchange) in &mut table.open {
+            exchange.end = self.line.end(id).unwrap_or(exchange.end); // those behind have moved up
+        }
+        drop(table);
+        ended.into_iter().for_each(|what| report(&self.reports, &self.state, what, outcome));
     }
 
-    /// After a drain: takes back what waits and what lies unbegun in the ring, as long as none of its bytes left.
+    /// After a drain: takes back what waits and what lies unbegun in the ring.
     fn withhold(&mut self) {
         let mut kept = VecDeque::new();
         for command in std::mem::take(&mut self.waiting) {
             match command {
-                Command::Open { what, bound: true, .. } => {
-                    report(&self.reports, &self.state, what, Outcome::Moot);
+                Command::Open(Opening { what, bound: true, ticket, .. }) => {
+                    if ticket.end() {
+                        report(&self.reports, &self.state, what, Outcome::Moot);
+                    }
                 }
                 other => kept.push_back(other),
             }
         }
         self.waiting = kept;
         let written = self.state.written.load(Ordering::Acquire);
-        let Some(first) = self.begun.iter().position(|b| b.0 >= written && b.2) else { return };
-        let from = self.begun[first].0;
-        self.ring.truncate((from - written) as usize);
-        self.queued = from;
-        let Ok(mut table) = self.state.table.lock() else { return };
-        for (_, id, _) in self.begun.drain(first..) {
-            if let Some(exchange) = table.open.remove(&id) {
-                report(&self.reports, &self.state, exchange.what, Outcome::Moot);
-            }
-        }
+        let cuts = self.line.cut_where(written, |p| p.bound);
+        self.cut(cuts, Outcome::Moot);
     }
 
     /// Moves what waits into the ring, as far as whole frames fit.
     fn fill(&mut self) -> Result<(), String> {
         while let Some(command) = self.waiting.front() {
-            let (len, what) = match command {
-                Command::Open { frame, what, id, function, bound } => {
-                    (frame.len(), Some((*what, *id, *function, *bound)))
-                }
-                Command::Plain(frame) => (frame.len(), None),
-                Command::Close => (0, None),
-                Command::Cancel(_) => (HEADER + CHECK, None),
+            let len = match command {
+                Command::Open(opening) => opening.frame.len(),
+                Command::Plain(frame) => frame.len(),
+                Command::Close => 0,
+                Command::Cancel(_) => HEADER + CHECK,
             };
             if len > self.ring.free() {
                 if self.ring.is_empty() {
@@ -532,40 +583,59 @@
                 return Ok(());
             }
             let Some(command) = self.waiting.pop_front() else { return Ok(()) };
-            let frame = match command {
-                Command::Open { frame, .. } | Command::Plain(frame) => frame,
+            match command {
+                Command::Open(opening) => self.join(opening)?,
+                Command::Plain(frame) => self.plain(&frame),
                 Command::Close => return Err("given up".to_owned()),
-                Command::Cancel(what) => match (self.give_up(what), what) {
-                    (Some(id), What::Attempt(_)) => encode(GIVE_UP, id, "", &[]),
-                    _ => continue, // an order stands, whether its answer is awaited or not
-                },
-            };
-            let begin = self.queued;
-            self.queued += frame.len() as u64;
-            if let Some((what, id, function, bound)) = what {
-                let Ok(mut table) = self.state.table.lock() else { return Err("poisoned".to_owned()) };
-                if table.broken || table.open.contains_key(&id) {
-                    // Two exchanges under one id could not be told apart: the later one is not sent.
-                    self.queued = begin;
-                    drop(table);
-                    report(&self.reports, &self.state, what, Outcome::ConnectFailed);
-                    continue;
+                Command::Cancel(what) => {
+                    // An order stands, whether its answer is awaited or not.
+                    if let (Some(id), What::Attempt(_)) = (self.give_up(what), what) {
+                        self.plain(&encode(GIVE_UP, id, "", &[]));
+                    }
                 }
-                table.open.insert(id, Exchange { what, end: self.queued, since: Instant::now(), function });
-                self.begun.push_back((begin, id, bound));
             }
-            self.ring.push(&frame);
         }
         Ok(())
     }
 
-    /// Closes what is out here; its id if it was.
-    fn give_up(&self, what: What) -> Option<u64> {
-        let mut table = self.state.table.lock().ok()?;
-        let id = table.open.iter().find(|(_, e)| e.what == what).map(|(&id, _)| id)?;
-        table.open.remove(&id);
+    fn plain(&mut self, frame: &[u8]) {
+        self.line.join(frame.len(), None, false, None);
+        self.ring.push(frame);
+    }
+
+    fn join(&mut self, opening: Opening) -> Result<(), String> {
+        let Opening { what, id, function, frame, bound, ticket } = opening;
+        let Ok(mut table) = self.state.table.lock() else { return Err("poisoned".to_owned()) };
+        if table.broken || table.open.contains_key(&id) {
+            // Two exchanges under one id could not be told apart: the later one is not sent.
+            drop(table);
+            if ticket.end() {
+                report(&self.reports, &self.state, what, Outcome::ConnectFailed);
+            }
+            return Ok(());
+        }
+        let end = self.line.join(frame.len(), Some(id), bound, Some(ticket.clone()));
+        table.open.insert(id, Exchange { what, end, since: Instant::now(), function, ticket });
+        self.ring.push(&frame);
+        Ok(())
+    }
+
+    /// Closes what is out here; its id if a byte of it was written. If none was, none will be.
+    fn give_up(&mut self, what: What) -> Option<u64> {
+        let id = {
+            let table = self.state.table.lock().ok()?;
+            table.open.iter().find(|(_, e)| e.what == what).map(|(&id, _)| id)?
+        };
+        let written = self.state.written.load(Ordering::Acquire);
+        let cuts = self.line.cut_where(written, |p| p.id == Some(id));
         self.state.load.fetch_sub(1, Ordering::AcqRel);
-        Some(id)
+        if cuts.is_empty() {
+            self.state.table.lock().ok()?.open.remove(&id);
+            return Some(id);
+        }
+        // Whoever gave it up has ended it.
+        self.cut(cuts.into_iter().map(|c| Cut { ends: false, ..c }).collect(), Outcome::Moot);
+        None
     }
 }
 
@@ -580,7 +650,10 @@
             Ok(0) => break Ok(()),
             Ok(_) => {}
             // Guards against an answer that stops short: nothing more comes behind it.
-            Err(e) if timed_out(&e) && decoder.midway() => break Err("a frame stopped midway".to_owned()),
+            // (What came while we stood still lies there unread: that is no stop.)
+            Err(e) if timed_out(&e) && decoder.midway() && nothing_lies(&stream) => {
+                break Err("a frame stopped midway".to_owned())
+            }
             Err(e) if timed_out(&e) => continue,
             Err(e) => break Err(e.to_string()),
         }
@@ -594,6 +667,11 @@
     end
 }
 
+/// Whether nothing that came lies unread.
+fn nothing_lies(stream: &TcpStream) -> bool {
+    matches!(stream.inner().peek(&mut [0]), Err(e) if timed_out(&e))
+}
+
 fn answers(
     decoder: &mut Decoder, ring: &mut Ring, state: &State, reports: &Reports, most: usize,
 ) -> Result<(), String> {
@@ -606,6 +684,7 @@
         };
         // An answer to what has ended already comes late and is dropped.
         let Some(exchange) = exchange else { continue };
+        exchange.ticket.end();
         state.load.fetch_sub(1, Ordering::AcqRel);
         let number = |name: &str| frame.field(name).and_then(|v| v.parse().ok());
         match exchange.what {
--- a/wrenseam/src/worker/kserve.rs
+++ b/wrenseam/src/worker/kserve.rs
@@ -1,5 +1,6 @@
 //! KServe v2 over HTTP/1.1 to one worker: each connection carries one exchange at a time. Loads, questions
 //! and unloads use the model repository extension.
+use super::ticket::{Begin, Ticket};
 use super::{Reports, Transport};
 use crate::core::{AttemptKey, Payload, Report, Request};
 use crate::http::{Chunked, Coded, Head};
@@ -87,6 +88,8 @@
 struct Job {
     what: What,
     bytes: Vec<u8>,
+    /// Who decides whether it is begun.
+    ticket: Arc<Ticket>,
     cancelled: Arc<AtomicBool>,
     /// Of which life of the worker this is; calls and loads of a past one are not written.
     epoch: u64,
@@ -112,7 +115,7 @@
     state: Arc<State>,
     jobs: Sender<Job>,
     queue: Receiver<Job>,
-    out: Vec<(AttemptKey, Arc<AtomicBool>)>,
+    out: Vec<(AttemptKey, Arc<Ticket>, Arc<AtomicBool>)>,
 }
 
 impl Kserve {
@@ -122,16 +125,22 @@
         Kserve { address, limits, reports, state: Arc::default(), jobs, queue, out: Vec::new() }
     }
 
-    fn start(&mut self, what: What, bytes: Vec<u8>, bound: bool, budget: Micros) {
+    fn start(&mut self, what: What, bytes: Vec<u8>, bound: bool, budget: Micros, gone: Arc<AtomicBool>) {
         let cancelled = Arc::new(AtomicBool::new(false));
+        let begun = if matches!(what, What::Order(..)) {
+            self.limits.connect + self.limits.write_check
+        } else {
+            Duration::from_micros(budget)
+        };
+        let ticket = Ticket::new(gone, Instant::now() + begun);
         if let What::Attempt(key, _) = what {
-            self.out.retain(|(_, flag)| Arc::strong_count(flag) > 1);
-            self.out.push((key, cancelled.clone()));
+            self.out.retain(|(_, _, flag)| Arc::strong_count(flag) > 1);
+            self.out.push((key, ticket.clone(), cancelled.clone()));
         }
         let epoch = self.state.epoch.load(Ordering::Acquire);
         let until = Instant::now() + Duration::from_micros(budget);
         let load = self.state.load.fetch_add(1, Ordering::AcqRel) + 1;
-        let _ = self.jobs.send(Job { what, bytes, cancelled, epoch, bound, until }); // its timer ends it at last
+        let _ = self.jobs.send(Job { what, bytes, ticket, cancelled, epoch, bound, until }); // its timer ends it at last
         let lanes = self.state.lanes.load(Ordering::Acquire);
         if load > lanes && lanes < self.limits.lanes_per_worker {
             self.state.lanes.fetch_add(1, Ordering::AcqRel);
@@ -162,13 +171,14 @@
             Payload::Json(body) => (self.post(&path, budget, body), false),
             Payload::Bytes(body) => (self.post(&path, budget, &wrap_call(request, body, budget)), true),
         };
-        self.start(What::Attempt(key, foreign), bytes, true, budget);
+        self.start(What::Attempt(key, foreign), bytes, true, budget, request.gone.clone());
     }
 
-    fn cancel(&mut self, key: AttemptKey) {
-        if let Some(at) = self.out.iter().position(|(k, _)| *k == key) {
-            self.out.swap_remove(at).1.store(true, Ordering::Release);
-        }
+    fn cancel(&mut self, key: AttemptKey) -> bool {
+        let Some(at) = self.out.iter().position(|o| o.0 == key) else { return false };
+        let (_, ticket, cancelled) = self.out.swap_remove(at);
+        cancelled.store(true, Ordering::Release);
+        ticket.take_back()
     }
 
     fn lapse(&mut self, _order: u64) {} // each exchange ends its connection by itself, see `Job::until`
@@ -186,13 +196,19 @@
         } else {
             self.post("/v2/repository/index", self.limits.order, b"{\"ready\":true}")
         };
-        self.start(What::Order(order, function, copies), bytes, copies > 0, self.limits.order);
+        self.start(
+            What::Order(order, function, copies),
+            bytes,
+            copies > 0,
+            self.limits.order,
+            Arc::default(),
+        );
     }
 
     fn unload(&mut self, function: FunctionId) {
         let path = format!("/v2/repository/models/{function:016x}/unload");
         let bytes = self.post(&path, self.limits.order, b"{}");
-        self.start(What::Unload, bytes, false, self.limits.order);
+        self.start(What::Unload, bytes, false, self.limits.order, Arc::default());
     }
 
     fn retire(&mut self) {
@@ -202,7 +218,7 @@
     fn pulse(&mut self) {} // a connection carries one exchange: its silence is the exchange's
 
     fn sweep(&mut self) {
-        self.out.retain(|(_, flag)| Arc::strong_count(flag) > 1); // idle connections close by themselves
+        self.out.retain(|(_, _, flag)| Arc::strong_count(flag) > 1); // idle connections close by themselves
     }
 }
 
@@ -278,7 +294,7 @@
                 Outcome::ConnectFailed
             })?,
         };
-        if self.withheld(job) {
+        if self.withheld(job) || job.ticket.begin(Instant::now()) != Begin::Go {
             self.stream = Some((stream, Instant::now()));
             return Err(Outcome::Moot);
         }
--- a/wrenseam/src/worker/mod.rs
+++ b/wrenseam/src/worker/mod.rs
@@ -2,6 +2,7 @@
 pub mod frames;
 pub mod kserve;
 pub mod pool;
+pub mod ticket;
 
 use crate::core::{AttemptKey, Message, Report, Request, Speech};
 use crate::limits::Limits;
@@ -31,8 +32,8 @@
 pub trait Transport: Send {
     /// Sends an attempt; exactly one report follows, unless it is cancelled first.
     fn send(&mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros);
-    /// Gives an attempt up; what is not yet written is not written.
-    fn cancel(&mut self, key: AttemptKey);
+    /// Gives an attempt up; what is not yet begun is not written. True proves that no byte of it was or will be.
+    fn cancel(&mut self, key: AttemptKey) -> bool;
     /// Gives an order's answer up: it is awaited no more.
     fn lapse(&mut self, order: u64);
     /// Whether no connection is left.
--- a/wrenseam/tests/board.rs
+++ b/wrenseam/tests/board.rs
@@ -47,6 +47,20 @@
     list expect new ready
     list expect old absent"
 )]
+// All move while a call is out: its answer still comes, from where it went.
+#[case::moved_under_a_call(
+    "
+    client send tile-render - x 5000
+    worker expect tile-render - x
+    board expect 1
+    board send 2 w0 draining
+    board send 3 w1 draining
+    board send 4 w2 draining
+    board send 5 w3 draining
+    list expect w3 draining
+    worker send ok DONE
+    client expect served DONE"
+)]
 // Asked for again once, then passed over.
 #[case::unreadable_event(
     "
--- a/wrenseam/tests/transport.rs
+++ b/wrenseam/tests/transport.rs
@@ -1,37 +1,126 @@
 //! The transport of frames against sockets: what it writes, and when it lets connections go.
 use bramblepath::{Outcome, Settings};
+use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::Ordering;
 use std::sync::{mpsc, Arc};
 use std::time::{Duration, Instant};
-use wrenseam::core::Message;
+use wrenseam::core::{AttemptKey, Message, Payload, Request};
 use wrenseam::limits::Limits;
-use wrenseam::worker::frames::Frames;
+use wrenseam::worker::frames::{encode, Frames};
 use wrenseam::worker::{Reports, Transport};
 
-/// Guards rule 3: what still waits for a connection when its worker drains is never written.
-#[test]
-fn an_order_that_waits_for_a_connection_is_not_written_after_a_drain() {
+/// A worker whose next connection comes up only once those that fill its queue are taken.
+fn late_worker() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
     socket.listen(0).expect("listens");
     let listener = TcpListener::from(socket);
     let address = listener.local_addr().expect("bound");
-    // Fills the queue of connections: the next one gets no answer until some are taken.
     let mut fillers = Vec::new();
     while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
         fillers.push(stream);
     }
+    (listener, address, fillers)
+}
+
+fn transport(address: SocketAddr, change: impl FnOnce(&mut Limits)) -> (Frames, mpsc::Receiver<Message>) {
     let mut limits = Limits::new(192, 1024, &Settings::default());
-    limits.connect = Duration::from_secs(20);
+    change(&mut limits);
     let (queue, reports) = mpsc::channel();
-    let mut transport = Frames::new(address, Arc::new(limits), Reports(queue));
-    transport.order(1, 7, 1);
-    transport.retire();
-    let accepted: Vec<TcpStream> = (0..=fillers.len()).map(|_| listener.accept().expect("one").0).collect();
+    (Frames::new(address, Arc::new(limits), Reports(queue)), reports)
+}
+
+fn request(wire_id: u64) -> Arc<Request> {
+    Arc::new(Request {
+        wire_id,
+        class: "c".to_owned(),
+        tenant: "t".to_owned(),
+        function: 7,
+        wait: 20_000_000,
+        read_at: Instant::now(),
+        token: None,
+        retry: false,
+        memory_mb: 0.0,
+        lanes: 0,
+        load_time: 0,
+        payload: Payload::Bytes(b"body".to_vec()),
+        held: None,
+        gone: Arc::default(),
+    })
+}
+
+/// The next frame, its id and code.
+fn frame(stream: &mut TcpStream) -> (u64, u8) {
+    let mut head = [0; 16];
+    stream.read_exact(&mut head).expect("a frame");
+    let fields = usize::from(u16::from_be_bytes([head[2], head[3]]));
+    let body = u32::from_be_bytes(head[4..8].try_into().expect("four")) as usize;
+    stream.read_exact(&mut vec![0; fields + body + 4]).expect("the rest of it");
+    (u64::from_be_bytes(head[8..].try_into().expect("eight")), head[1])
+}
+
+fn say(stream: &mut TcpStream, code: u8, id: u64, fields: &str, body: &[u8]) {
+    let mut answer = encode(code, id, fields, body);
+    answer[0] = 127;
+    stream.write_all(&answer).expect("answered");
+}
+
+fn outcome(reports: &mpsc::Receiver<Message>) -> (usize, Outcome) {
     match reports.recv_timeout(Duration::from_secs(20)) {
-        Ok(Message::Ordered(1, outcome, 0)) => assert_eq!(outcome, Outcome::Moot),
-        _ => panic!("the order did not end"),
+        Ok(Message::Ended(key, report)) => (key.attempt, report.outcome),
+        Ok(Message::Ordered(_, outcome, _)) => (usize::MAX, outcome),
+        _ => panic!("nothing ended"),
+    }
+}
+
+const FIRST: AttemptKey = AttemptKey { request: 1, attempt: 0 };
+const SECOND: AttemptKey = AttemptKey { request: 1, attempt: 1 };
+
+/// What ends while it waits for a connection that comes up late: it is never written, and it is known that it never
+/// ran. The connection is held back until the other event has happened.
+#[rstest]
+// Guards rule 3.
+#[case::an_order_and_a_drain("order", "drain", Some(Outcome::Moot))]
+#[case::a_call_and_a_drain("call", "drain", Some(Outcome::Moot))]
+// Guards workers from calls for nobody.
+#[case::its_client_leaves("call", "leave", Some(Outcome::Moot))]
+#[case::its_time_is_up("call", "late", Some(Outcome::Moot))]
+// Whoever takes it back ends it, and is told that nothing ran.
+#[case::it_is_called_off("call", "cancel", None)]
+fn what_ends_while_its_connection_comes_up_is_not_written(
+    #[case] what: &str, #[case] event: &str, #[case] end: Option<Outcome>,
+) {
+    let (listener, address, fillers) = late_worker();
+    let (mut transport, reports) = transport(address, |l| l.connect = Duration::from_secs(20));
+    let (request, budget) = (request(9), if event == "late" { 1_000 } else { 20_000_000 });
+    match what {
+        "order" => transport.order(1, 7, 1),
+        _ => transport.send(FIRST, &request, budget),
+    }
+    match event {
+        "drain" => transport.retire(),
+        "leave" => request.gone.store(true, Ordering::Release),
+        "cancel" => assert!(transport.cancel(FIRST), "no byte of it can have been written"),
+        _ => {
+            let since = Instant::now();
+            while since.elapsed() <= Duration::from_micros(budget) {
+                std::thread::yield_now();
+            }
+        }
+    }
+    let mut accepted: Vec<TcpStream> =
+        (0..=fillers.len()).map(|_| listener.accept().expect("one").0).collect();
+    match end {
+        Some(end) => assert_eq!(outcome(&reports).1, end),
+        None => {
+            // The next call goes out on that connection, and nothing before it.
+            transport.send(SECOND, &self::request(10), budget);
+            assert_eq!(frame(accepted.last_mut().expect("the late one")), (10, 2));
+            say(accepted.last_mut().expect("the late one"), 203, 10, "", b"");
+            assert_eq!(outcome(&reports), (1, Outcome::Full));
+        }
     }
     drop((transport, fillers)); // closes every connection from this side
     for mut stream in accepted {
@@ -41,6 +130,59 @@
     }
 }
 
+/// A call given up is repeated at the same worker; then the answer to the first comes after all. It is not taken for
+/// the answer to the second, of which nobody could say then whether it runs.
+#[test]
+fn a_late_answer_is_not_taken_for_that_of_the_next_attempt() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (mut transport, reports) = transport(listener.local_addr().expect("bound"), |_| {});
+    let request = request(9);
+    transport.send(FIRST, &request, 20_000_000);
+    let mut first = listener.accept().expect("a connection").0;
+    assert_eq!(frame(&mut first), (9, 2));
+    assert!(!transport.cancel(FIRST), "it has been written");
+    assert_eq!(frame(&mut first), (9, 3), "given up");
+    transport.send(SECOND, &request, 20_000_000);
+    let mut second = listener.accept().expect("a connection of its own").0;
+    assert_eq!(frame(&mut second), (9, 2));
+    say(&mut first, 203, 9, "", b"");
+    say(&mut first, 203, 9, "", b"");
+    // Another call on the first connection shows that both have been read.
+    transport.send(AttemptKey { request: 2, attempt: 7 }, &self::request(10), 20_000_000);
+    assert_eq!(frame(&mut first), (10, 2));
+    say(&mut first, 200, 10, "", b"x");
+    assert_eq!(outcome(&reports), (7, Outcome::Ok));
+    say(&mut second, 200, 9, "", b"DONE");
+    assert_eq!(outcome(&reports), (1, Outcome::Ok));
+    // Nothing is counted twice: both connections are idle, and close once they have been for long.
+    transport.retire();
+    transport.sweep();
+    assert!(transport.is_idle());
+}
+
+/// A connection idle for as long as the worker keeps it is not chosen, though nothing has closed it yet: the worker
+/// may be closing it just now. Idle is counted from the last byte either way.
+#[test]
+fn a_connection_idle_for_too_long_is_not_chosen() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let idle = Duration::from_secs(1);
+    let (mut transport, reports) = transport(listener.local_addr().expect("bound"), |l| l.worker_idle = idle);
+    let call = |n| AttemptKey { request: n, attempt: 0 };
+    transport.send(call(1), &request(1), 20_000_000);
+    let mut first = listener.accept().expect("a connection").0;
+    frame(&mut first);
+    std::thread::sleep(idle + idle / 4); // a long call is no idle time
+    say(&mut first, 200, 1, "", b"x");
+    assert_eq!(outcome(&reports).1, Outcome::Ok);
+    transport.send(call(2), &request(2), 20_000_000);
+    assert_eq!(frame(&mut first), (2, 2));
+    say(&mut first, 200, 2, "", b"x");
+    assert_eq!(outcome(&reports).1, Outcome::Ok);
+    std::thread::sleep(idle + idle / 4);
+    transport.send(call(3), &request(3), 20_000_000);
+    assert_eq!(frame(&mut listener.accept().expect("another connection").0), (3, 2));
+}
+
 /// Guards descriptors: an order that gets no answer must not hold its connection for ever.
 #[test]
 fn a_connection_whose_order_was_lost_closes_after_it_lapsed() {
