A process ends once each connection has closed in order; backlog and late input get no reset

Causes, by reading shutdown.rs, net.rs and front/mod.rs: - The listener was shut down 0.7 s after SIGTERM with whatever stood in its queue: connections that the machine had accepted, reset without an answer on a starved core. - The end waited for three counts (open, unsent, reading) to be zero twice, 10 ms apart. What passes from one to the next, or lies unread in the kernel, is in none of them, and the answer last written left with exit() while input lay unread. - The writer closed with shutdown(Both), so whatever a client still sent behind an answer brought a reset. - stop_at_last was 10 s: requests of a class with a longer wait, taken before SIGTERM, were left by a process that SIGKILL would have spared the blame for.

Change: the queue is emptied before the listener closes. Then each connection decides for itself, in order (unread, half read, owed, queued, half-close, read on for at most 0.32 s and 64 KiB), and gives its seat back last; the process ends with no seat taken and nobody accepting. The last moment follows the classes' give-up.

Ruled out: a second SIGTERM or SIGHUP while it ends (signal-hook keeps its handlers, nothing reads them), SIGTERM before it is ready (registered first, served once the listeners stand), the successor's bind (std's listener sets SO_REUSEADDR as before).

--- a/fleetlab/src/lab.rs
+++ b/fleetlab/src/lab.rs
@@ -38,6 +38,16 @@
     gossip: Option<SocketAddr>,
 }
 
+impl Drop for Front {
+    /// Whoever waits for the lab's output would else wait for what it leaves running, should it end by an error.
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill(); // it may have ended already
+            let _ = child.wait();
+        }
+    }
+}
+
 /// What a run leaves: the tally, each front end's fleet figures at the end, the relays' work.
 pub struct Outcome {
     pub tally: Arc<Tally>,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -71,6 +71,8 @@
     pub index: Option<u32>,
     /// Classes of requests.
     pub classes: Vec<ClassSettings>,
+    /// The longest time that a client of any class waits over all its tries; 0 if none is stated.
+    pub longest_wait: Micros,
     /// Tenants, if any.
     pub tenants: Vec<TenantSettings>,
     /// Names of the zones.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -36,6 +36,7 @@
             gateways: count(conf, "balancers"),
             index: number(conf, "index").filter(|i| (0.0..4e9).contains(i)).map(|i| i as u32),
             classes: items("classes").map(class).collect(),
+            longest_wait: items("classes").map(|c| span(c, "give-up")).max().unwrap_or(0).min(3_600_000_000),
             tenants: items("tenants").map(tenant).collect(),
             zones: names(list(conf, "failure-domains")),
             kinds: names(list(conf, "flavors")),
--- a/wrenseam/src/front/fastcgi.rs
+++ b/wrenseam/src/front/fastcgi.rs
@@ -1,5 +1,5 @@
 //! The platform's front: FastCGI 1.0, Responder role, many requests on one connection.
-use super::{function, token_fits, Doors, Figures, Reading};
+use super::{function, token_fits, Doors, Figures};
 use crate::core::{Answer, Client, Ended, Message, Payload, Request};
 use crate::limits::{Held, Limits};
 use crate::net::{timed_out, Occupant, Outbox, Seat};
@@ -136,7 +136,6 @@
 /// A request of which records are still to come.
 struct Partial {
     since: Instant,
-    _reading: Reading,
     keep: bool,
     params: Vec<u8>,
     body: Vec<u8>,
@@ -166,7 +165,7 @@
 }
 
 /// Serves one connection until it ends.
-pub fn serve(stream: TcpStream, doors: &Doors, seat: Seat) {
+pub fn serve(mut stream: TcpStream, doors: &Doors, seat: Seat) {
     let peer = stream.peer_addr().map_or("?".to_owned(), |p| p.to_string());
     let out = match stream.try_clone().and_then(|s| doors.outbox(s)) {
         Ok(out) => out,
@@ -175,14 +174,14 @@
     seat.occupant.writes_to(&out);
     let side = Arc::new(Side { occupant: seat.occupant.clone(), out, live: Mutex::default() });
     let mut reader = Reader { doors, side: side.clone(), partial: HashMap::new(), uses: 0, over: 0 };
-    if let Err(why) = reader.run(stream) {
+    if let Err(why) = reader.run(&mut stream) {
         note!("fastcgi {peer}: connection closed: {why}");
     }
     if let Ok(live) = side.live.lock() {
         live.values().for_each(|l| l.gone.store(true, Ordering::Release));
     }
     let _ = doors.core.send(Message::Hangup(seat.occupant.number)); // the core only ends with the program
-    side.out.close();
+    side.out.linger(stream, &doors.limits);
 }
 
 struct Reader<'a> {
@@ -195,18 +194,24 @@
 }
 
 impl Reader<'_> {
-    fn run(&mut self, mut stream: TcpStream) -> Result<(), String> {
+    fn run(&mut self, stream: &mut TcpStream) -> Result<(), String> {
         let limits = self.doors.limits.clone();
         stream.set_read_timeout(Some(limits.client_check)).map_err(|e| e.to_string())?;
         let mut ring = Ring::new(limits.client_ring);
         let mut got = Vec::new();
         let (mut looked, mut record_since, mut fills) = (Instant::now(), Instant::now(), 0u32);
         loop {
-            match ring.fill(&mut stream) {
+            // Asked for before the read: an end that is wished for then is owed what had come by then.
+            let ending = self.doors.ending.load(Ordering::Acquire);
+            let nothing = match ring.fill(stream) {
                 Ok(0) => return Ok(()),
-                Ok(_) => {}
-                Err(e) if timed_out(&e) => {}
+                Ok(_) => false,
+                Err(e) if timed_out(&e) => true,
                 Err(e) => return Err(e.to_string()),
+            };
+            let between = self.partial.is_empty() && got.is_empty();
+            if self.side.out.closing() || ending && nothing && between && self.side.occupant.is_idle() {
+                return Ok(());
             }
             loop {
                 if got.is_empty() {
@@ -351,9 +356,9 @@
             self.end_at_once(id, OVERLOADED, "too many requests on one connection");
         } else {
             let (keep, held) = (flags & KEEP_CONN != 0, self.doors.budget.take(0));
-            let (since, _reading, over) = (Instant::now(), Reading::start(self.doors), false);
+            let (since, over) = (Instant::now(), false);
             let (params, body) = (Vec::new(), Vec::new());
-            self.partial.insert(id, Partial { since, _reading, keep, params, body, held, over });
+            self.partial.insert(id, Partial { since, keep, params, body, held, over });
         }
         Ok(())
     }
--- a/wrenseam/src/front/kserve.rs
+++ b/wrenseam/src/front/kserve.rs
@@ -1,5 +1,5 @@
 //! The KServe v2 front: the Open Inference Protocol over HTTP/1.1 REST, on the same core as FastCGI.
-use super::{function, token_fits, Doors, Figures, Reading};
+use super::{function, token_fits, Doors, Figures};
 use crate::core::{Answer, Client, Ended, Message, Payload, Request};
 use crate::http::{response, Head};
 use crate::limits::Limits;
@@ -99,7 +99,7 @@
 
 type Handle = fn(&Reader<'_>, u64, &Head, Vec<u8>) -> Reply;
 
-fn connection(stream: TcpStream, doors: &Doors, seat: Seat, front: &'static str, handle: Handle) {
+fn connection(mut stream: TcpStream, doors: &Doors, seat: Seat, front: &'static str, handle: Handle) {
     let peer = stream.peer_addr().map_or("?".to_owned(), |p| p.to_string());
     let out = match stream.try_clone().and_then(|s| doors.outbox(s)) {
         Ok(out) => out,
@@ -108,14 +108,14 @@
     seat.occupant.writes_to(&out);
     let side = Arc::new(Side { occupant: seat.occupant.clone(), out, slots: Mutex::default() });
     let reader = Reader { doors, side: side.clone(), handle };
-    if let Err(why) = reader.run(stream) {
+    if let Err(why) = reader.run(&mut stream) {
         note!("{front} {peer}: connection closed: {why}");
     }
     if let Ok(slots) = side.slots.lock() {
         slots.iter().for_each(|s| s.gone.store(true, Ordering::Release));
     }
     let _ = doors.core.send(Message::Hangup(seat.occupant.number)); // the core only ends with the program
-    side.out.close();
+    side.out.linger(stream, &doors.limits);
 }
 
 /// What becomes of a request at once.
@@ -137,22 +137,28 @@
 }
 
 impl Reader<'_> {
-    fn run(&self, mut stream: TcpStream) -> Result<(), String> {
+    fn run(&self, stream: &mut TcpStream) -> Result<(), String> {
         let limits = &self.doors.limits;
         let (mut ring, mut head, mut tag) = (Ring::new(limits.client_ring), Vec::new(), 0u64);
         let mut body: Option<(Head, Vec<u8>)> = None;
-        let mut part: Option<(Instant, Reading)> = None; // of a request that has not come whole
+        let mut part: Option<Instant> = None; // of a request that has not come whole
         stream.set_read_timeout(Some(limits.client_check)).map_err(|e| e.to_string())?;
         loop {
-            match ring.fill(&mut stream) {
+            // As the other front does: an end that is wished for is owed what had come by then.
+            let ending = self.doors.ending.load(Ordering::Acquire);
+            let nothing = match ring.fill(stream) {
                 Ok(0) => return Ok(()),
-                Ok(_) => {}
-                Err(e) if timed_out(&e) => {}
+                Ok(_) => false,
+                Err(e) if timed_out(&e) => true,
                 Err(e) => return Err(e.to_string()),
+            };
+            let between = part.is_none() && ring.is_empty();
+            if self.side.out.closing() || ending && nothing && between && self.side.occupant.is_idle() {
+                return Ok(());
             }
             // Guards as the other front does, against requests that never come whole and connections that
             // say nothing.
-            if part.as_ref().is_some_and(|p| p.0.elapsed() > limits.request_read) {
+            if part.as_ref().is_some_and(|p| p.elapsed() > limits.request_read) {
                 self.last(tag, "408 Request Timeout", "the request never came whole");
                 return Err("a request never came whole".to_owned());
             }
@@ -160,7 +166,7 @@
                 return Ok(());
             }
             while !ring.is_empty() {
-                part.get_or_insert_with(|| (Instant::now(), Reading::start(self.doors)));
+                part.get_or_insert_with(Instant::now);
                 if body.is_none() {
                     ring.take(1, &mut head);
                     if head == b"\r\n" {
@@ -202,7 +208,7 @@
                     part = None;
                     self.whole(tag, &told, got)?;
                     if told.close {
-                        return self.until_end(&mut ring, &mut stream);
+                        return self.until_end(&mut ring, stream);
                     }
                 }
             }
@@ -213,6 +219,9 @@
     fn until_end(&self, ring: &mut Ring, stream: &mut TcpStream) -> Result<(), String> {
         loop {
             ring.truncate(0);
+            if self.side.out.closing() {
+                return Ok(());
+            }
             match ring.fill(stream) {
                 Err(e) if timed_out(&e) => {}
                 Ok(n) if n > 0 => {}
--- a/wrenseam/src/front/mod.rs
+++ b/wrenseam/src/front/mod.rs
@@ -7,6 +7,8 @@
 use crate::limits::{Budget, Limits};
 use crate::net::{spawn, Outbox, Seat, Seats};
 use may::net::{TcpListener, TcpStream};
+use std::net::SocketAddr;
+use std::os::fd::{FromRawFd, IntoRawFd};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::Arc;
@@ -27,12 +29,14 @@
     pub seats: Seats,
     /// Bytes of answers not yet written.
     pub unsent: Arc<AtomicUsize>,
-    /// Requests of which a part has been read.
-    pub reading: Arc<AtomicUsize>,
     /// What the core shows.
     pub shared: Arc<Shared>,
     /// Set once the listeners are to close.
     pub closing: Arc<AtomicBool>,
+    /// Set once the process is to end: each connection closes when nothing lies unread, is half read or owed on it.
+    pub ending: Arc<AtomicBool>,
+    /// Loops that accept connections.
+    pub accepting: Arc<AtomicUsize>,
 }
 
 impl Doors {
@@ -43,33 +47,62 @@
 }
 
 /// Accepts connections until the listeners close, each served by a coroutine of its own.
-pub fn accept(
-    listener: &TcpListener, doors: &Doors, front: &'static str, serve: fn(TcpStream, &Doors, Seat),
-) {
+pub fn accept(listener: &TcpListener, doors: &Doors, front: &'static str, serve: Serve) {
     loop {
         match listener.accept() {
             Ok((stream, peer)) => {
-                // Guards the descriptors that workers and the board need.
-                let Some(seat) = seat(doors) else {
-                    note!("{front}: connection of {peer} closed, all client connections are taken");
-                    continue;
-                };
-                let inside = doors.clone();
-                let _ = stream.set_nodelay(true); // a connection without it is only slower
-                if let Err(e) = spawn(doors.limits.stack, move || serve(stream, &inside, seat)) {
-                    note!("{front}: connection of {peer} closed: {e}");
-                }
+                admit(stream, peer, doors, front, serve);
                 // Lets the connection be read before the next is taken: many that come at once would else
                 // all stand here as if they had nothing to say.
                 may::coroutine::yield_now();
             }
-            Err(_) if doors.closing.load(Ordering::Acquire) => return,
+            Err(_) if doors.closing.load(Ordering::Acquire) => break,
             Err(e) => {
                 note!("{front}: accept: {e}");
                 may::coroutine::sleep(Duration::from_millis(10));
             }
         }
     }
+    doors.accepting.fetch_sub(1, Ordering::AcqRel);
+}
+
+fn admit(stream: TcpStream, peer: SocketAddr, doors: &Doors, front: &'static str, serve: Serve) {
+    // Guards the descriptors that workers and the board need.
+    let Some(seat) = seat(doors) else {
+        return note!("{front}: connection of {peer} closed, all client connections are taken");
+    };
+    let inside = doors.clone();
+    let _ = stream.set_nodelay(true); // a connection without it is only slower
+    if let Err(e) = spawn(doors.limits.stack, move || serve(stream, &inside, seat)) {
+        note!("{front}: connection of {peer} closed: {e}");
+    }
+}
+
+/// Closes a listener. What stands in its queue by then the machine has accepted: it is taken first, or a reset would
+/// be its answer.
+pub fn close(listener: &Listener, doors: &Doors) {
+    while let Ok((stream, peer)) = listener.socket.inner().accept() {
+        // SAFETY: the descriptor is open and ours alone, `into_raw_fd` has just let go of it; `may` has no other way to
+        // take a connection over, and its own `accept` would wait where the queue is empty.
+        #[allow(unsafe_code)]
+        let stream = unsafe { TcpStream::from_raw_fd(stream.into_raw_fd()) };
+        admit(stream, peer, doors, listener.front, listener.serve);
+    }
+    // Wakes the coroutine that waits in accept; it sees that the doors are closing.
+    let _ = socket2::SockRef::from(listener.socket.inner()).shutdown(std::net::Shutdown::Both);
+}
+
+/// What serves a connection of some front.
+pub type Serve = fn(TcpStream, &Doors, Seat);
+
+/// A front's listener.
+pub struct Listener {
+    /// Where clients connect.
+    pub socket: Arc<TcpListener>,
+    /// The front's name in the log.
+    pub front: &'static str,
+    /// What serves its connections.
+    pub serve: Serve,
 }
 
 /// A seat, if need be one that others give up.
@@ -85,23 +118,6 @@
     seat
 }
 
-/// Counts a request while it is being read, so that a planned end waits for it.
-pub struct Reading(Arc<AtomicUsize>);
-
-impl Reading {
-    /// One more.
-    pub fn start(doors: &Doors) -> Self {
-        doors.reading.fetch_add(1, Ordering::AcqRel);
-        Reading(doors.reading.clone())
-    }
-}
-
-impl Drop for Reading {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// A request's figures as a client told them; 0 where it did not.
 #[derive(Default)]
 pub struct Figures {
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -1,6 +1,6 @@
 //! The front end round the decision module: fronts parse, the core owns the module, transports carry.
 //! See docs/architecture.md for the life of a request.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)] // one exception, with its reason: `front::close`
 #![warn(missing_docs)]
 
 #[macro_use]
@@ -47,8 +47,9 @@
         seats: net::Seats::new(limits.client_connections, shared.draining.clone(), shared.clients.clone()),
         unsent: Arc::default(),
         shared: shared.clone(),
-        reading: Arc::default(),
         closing: Arc::new(AtomicBool::new(false)),
+        ending: Arc::default(),
+        accepting: Arc::default(),
     };
     let reports = worker::Reports(queue.clone());
     let seed = config.seed;
@@ -81,7 +82,7 @@
         let _ = queue.send(Message::Excluded(set));
     }
     let main = listen(config.listen, &doors, "fastcgi", front::fastcgi::serve)?;
-    announce(&config.name, &main);
+    announce(&config.name, &main.socket);
     let mut listeners = vec![main];
     if let Some(kserve) = config.kserve {
         if let Some(endpoints) = &kserve.endpoints {
@@ -89,11 +90,11 @@
             let _ = queue.send(Message::Members { source: Speech::Kserve, full: true, members });
         }
         let front = listen(kserve.listen, &doors, "kserve", front::kserve::serve)?;
-        announce("KServe v2", &front);
+        announce("KServe v2", &front.socket);
         listeners.push(front);
         if let Some(admin) = kserve.admin {
             let front = listen(admin, &doors, "admin", front::kserve::serve_admin)?;
-            announce("administration", &front);
+            announce("administration", &front.socket);
             listeners.push(front);
         }
     }
@@ -108,7 +109,6 @@
         net::spawn(limits.stack, move || front::admin::follow_excluded(&inside))
             .map_err(|e| format!("exclusions: {e}"))?;
     }
-    let listeners: Vec<&TcpListener> = listeners.iter().map(Arc::as_ref).collect();
     shutdown::wait(signals, &listeners, &doors, &board);
     Ok(())
 }
@@ -119,12 +119,13 @@
 }
 
 fn listen(
-    address: SocketAddr, doors: &Doors, name: &'static str, serve: fn(may::net::TcpStream, &Doors, net::Seat),
-) -> Result<Arc<TcpListener>, String> {
+    address: SocketAddr, doors: &Doors, front: &'static str, serve: front::Serve,
+) -> Result<front::Listener, String> {
     let listener = TcpListener::bind(address).map_err(|e| format!("{address}: {e}"))?;
-    let (listener, doors) = (Arc::new(listener), doors.clone());
-    let inside = listener.clone();
-    let accept = move || front::accept(&inside, &doors, name, serve);
+    let (socket, doors) = (Arc::new(listener), doors.clone());
+    let inside = socket.clone();
+    doors.accepting.fetch_add(1, std::sync::atomic::Ordering::AcqRel);
+    let accept = move || front::accept(&inside, &doors, front, serve);
     net::spawn(64 * 1024, accept).map_err(|e| format!("{address}: {e}"))?;
-    Ok(listener)
+    Ok(front::Listener { socket, front, serve })
 }
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -41,6 +41,8 @@
     pub drain_idle: Duration,
     /// How often a client connection looks at these times.
     pub client_check: Duration,
+    /// After its half-close a client connection is read for so long, should the client not close.
+    pub linger: Duration,
     /// Bytes read of what has been answered as unfit before its connection closes.
     pub discard: usize,
     /// Longest wait that a client may name.
@@ -100,7 +102,8 @@
     pub board_event: usize,
     /// After SIGTERM the listeners stay open this long.
     pub stop_listening: Duration,
-    /// After SIGTERM the program ends at the latest after this.
+    /// After SIGTERM the program ends at the latest after this: behind the longest wait of any class, so that nothing
+    /// that was taken is left by it. Whatever kills it sooner counts none of that as lost.
     pub stop_at_last: Duration,
 }
 
@@ -131,6 +134,7 @@
             client_idle: Duration::from_millis(5_000),
             drain_idle: Duration::ZERO,
             client_check: Duration::from_millis(250),
+            linger: Duration::from_millis(320),
             discard: 64 * 1024,
             longest_wait: 600_000_000,
             memory_mb: 1e6,
@@ -164,7 +168,8 @@
             board_retry_most: Duration::from_millis(if large { 1_000 } else { 100 }),
             board_event: 1024 * 1024,
             stop_listening: Duration::from_millis(700),
-            stop_at_last: Duration::from_secs(10),
+            stop_at_last: Duration::from_secs(10)
+                .max(Duration::from_micros(settings.longest_wait) + Duration::from_secs(1)),
         }
     }
 }
@@ -237,6 +242,15 @@
         assert!(budget.take(10).is_some());
     }
 
+    /// A process that ends leaves nothing behind that was taken: its last moment follows the longest wait.
+    #[test]
+    fn the_last_moment_of_an_ending_process_lies_behind_the_longest_wait() {
+        for (told, least) in [(250_000, 10), (12_000_000, 13), (0, 10)] {
+            let limits = Limits::new(192, 1024, &Settings { longest_wait: told, ..Settings::default() });
+            assert!(limits.stop_at_last >= Duration::from_secs(least), "{:?}", limits.stop_at_last);
+        }
+    }
+
     #[test]
     fn clients_leave_descriptors_for_workers_and_board() {
         let limits = Limits::new(192, 1024, &Settings::default());
--- a/wrenseam/src/net.rs
+++ b/wrenseam/src/net.rs
@@ -5,7 +5,7 @@
 use may::sync::mpsc::{channel, Receiver, Sender};
 use may::sync::Mutex;
 use std::collections::BTreeMap;
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::Shutdown;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -32,7 +32,17 @@
 
 enum Chunk {
     Bytes(Vec<u8>, Option<Held>),
+    /// Nothing more will be written; what comes is still read for a while.
     Close,
+    /// The end at once.
+    Drop,
+}
+
+/// How far the end of a connection's sending side has come.
+#[derive(Default)]
+struct Ending {
+    closing: AtomicBool,
+    written: AtomicBool,
 }
 
 /// The sending side of a client connection: answers go in from any thread, a coroutine writes them.
@@ -41,6 +51,7 @@
     chunks: Sender<Chunk>,
     waiting: Arc<AtomicUsize>,
     unsent: Arc<AtomicUsize>,
+    ending: Arc<Ending>,
     budget: Budget,
     most: usize,
 }
@@ -53,9 +64,14 @@
         let (chunks, queue) = channel();
         let waiting = Arc::new(AtomicUsize::new(0));
         let (most, stack) = (limits.unsent_per_connection, limits.stack);
-        let out = Outbox { chunks, waiting, unsent: unsent.clone(), budget: budget.clone(), most };
+        let (unsent, budget, ending) = (unsent.clone(), budget.clone(), Arc::default());
+        let out = Outbox { chunks, waiting, unsent, ending, budget, most };
         let (limits, waiting, unsent) = (limits.clone(), out.waiting.clone(), out.unsent.clone());
-        spawn(stack, move || write_out(stream, &queue, &limits, &waiting, &unsent))?;
+        let ending = out.ending.clone();
+        spawn(stack, move || {
+            write_out(stream, &queue, &limits, &waiting, &unsent);
+            ending.written.store(true, Ordering::Release);
+        })?;
         Ok(out)
     }
 
@@ -65,7 +81,7 @@
         let held = self.budget.take(len);
         if held.is_none() || self.waiting.load(Ordering::Relaxed) + len > self.most {
             note!("client: closed, {} bytes of answers wait unread", self.waiting.load(Ordering::Relaxed));
-            return self.close();
+            return self.drop_now();
         }
         self.waiting.fetch_add(len, Ordering::Relaxed);
         self.unsent.fetch_add(len, Ordering::AcqRel);
@@ -74,10 +90,42 @@
         }
     }
 
-    /// Closes the connection once what is queued has been written.
+    /// Half-closes the connection once what is queued has been written; its reader goes on for a while (`linger`).
     pub fn close(&self) {
+        self.ending.closing.store(true, Ordering::Release);
         let _ = self.chunks.send(Chunk::Close); // a writer that has ended has closed it already
     }
+
+    /// Ends the connection at once: nothing is owed on it, or its client does not read what it is owed.
+    pub fn drop_now(&self) {
+        self.ending.closing.store(true, Ordering::Release);
+        let _ = self.chunks.send(Chunk::Drop);
+    }
+
+    /// Whether the connection is being closed from this side.
+    pub fn closing(&self) -> bool {
+        self.ending.closing.load(Ordering::Acquire)
+    }
+
+    /// Reads on after the half-close, until the client has closed too or for a bounded time and number of bytes, and
+    /// until all that was queued is written. Guards answers on their way: a close while input lies unread, or with
+    /// input to come, sends a reset, which destroys them.
+    pub fn linger(&self, mut stream: TcpStream, limits: &Limits) {
+        self.close();
+        let (since, mut passed, mut bytes) = (Instant::now(), 0, vec![0; limits.client_ring]);
+        let mut ended = stream.set_read_timeout(Some(limits.linger / 8)).is_err();
+        while !ended && passed <= limits.discard {
+            match stream.read(&mut bytes) {
+                Ok(n) if n > 0 => passed += n,
+                Err(e) if timed_out(&e) => {}
+                _ => ended = true,
+            }
+            ended |= since.elapsed() > limits.linger && self.ending.written.load(Ordering::Acquire);
+        }
+        while !self.ending.written.load(Ordering::Acquire) {
+            may::coroutine::sleep(limits.linger / 64); // the writer ends by itself: see `Limits::write_stall`
+        }
+    }
 }
 
 fn write_out(
@@ -86,8 +134,12 @@
 ) {
     let mut ring = Ring::new(limits.client_ring);
     let _ = stream.set_write_timeout(Some(limits.write_stall));
-    let mut broken = false;
-    while let Ok(Chunk::Bytes(bytes, _held)) = queue.recv() {
+    let (mut broken, mut half) = (false, false);
+    while let Ok(chunk) = queue.recv() {
+        let Chunk::Bytes(bytes, _held) = chunk else {
+            half = matches!(chunk, Chunk::Close);
+            break;
+        };
         let (mut rest, all) = (&bytes[..], bytes.len());
         while !broken && (!rest.is_empty() || !ring.is_empty()) {
             rest = &rest[ring.push(rest)..];
@@ -105,8 +157,9 @@
         waiting.fetch_sub(all, Ordering::Relaxed);
         unsent.fetch_sub(all, Ordering::AcqRel);
     }
-    let _ = stream.shutdown(Shutdown::Both); // the reader sees the end and leaves
-                                             // What is still queued will not be written.
+    // At a half-close the client sees the end behind its answers; else the reader sees it too and leaves.
+    let _ = stream.shutdown(if half { Shutdown::Write } else { Shutdown::Both });
+    // What is still queued will not be written.
     while let Ok(chunk) = queue.try_recv() {
         if let Chunk::Bytes(bytes, _) = chunk {
             unsent.fetch_sub(bytes.len(), Ordering::AcqRel);
@@ -231,7 +284,7 @@
         drop(taken);
         idle.sort_by_key(|i| i.0);
         idle.truncate(self.most.div_ceil(16));
-        idle.iter().for_each(|(_, out)| out.close());
+        idle.iter().for_each(|(_, out)| out.drop_now());
         new || !idle.is_empty()
     }
 }
--- a/wrenseam/src/shutdown.rs
+++ b/wrenseam/src/shutdown.rs
@@ -1,11 +1,10 @@
 //! Signals. SIGHUP has the configuration read again; SIGTERM lets the program go on for a while, then it ends
 //! once nothing is open.
 use crate::config::Config;
-use crate::front::Doors;
+use crate::front::{Doors, Listener};
 use crate::roster::Board;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use std::net::Shutdown;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -13,7 +12,7 @@
 
 /// Serves SIGHUP until SIGTERM or SIGINT comes, then waits for the end of what is open. Returns when the
 /// program may exit.
-pub fn wait(mut signals: Signals, listeners: &[&may::net::TcpListener], doors: &Doors, board: &Board) {
+pub fn wait(mut signals: Signals, listeners: &[Listener], doors: &Doors, board: &Board) {
     for signal in signals.forever() {
         if signal != SIGHUP {
             break;
@@ -35,18 +34,14 @@
     std::thread::sleep(limits.stop_listening);
     doors.shared.stopping.store(true, Ordering::Release);
     doors.closing.store(true, Ordering::Release);
-    for listener in listeners {
-        // Wakes the coroutine that waits in accept; it sees that the doors are closing.
-        let _ = socket2::SockRef::from(listener.inner()).shutdown(Shutdown::Both);
-    }
+    listeners.iter().for_each(|listener| crate::front::close(listener, doors));
+    // From here on each connection decides for itself, in order: what lies unread is read, what is half read comes
+    // whole or is ended, what is owed is answered, what is queued is written, and then it closes and gives its seat
+    // back. With no seat taken and nobody accepting nothing is left; no count passes from one to another meanwhile.
+    doors.ending.store(true, Ordering::Release);
     let since = Instant::now();
-    let mut quiet = 0;
-    // Twice quiet, so that an answer on its way from core to writer is counted by one of them.
-    while quiet < 2 && since.elapsed() < limits.stop_at_last {
-        let open = doors.shared.open.load(Ordering::Acquire) + doors.unsent.load(Ordering::Acquire);
-        // What has come in part by now comes whole soon, or its connection closes: see `Limits::request_read`.
-        let open = open + doors.reading.load(Ordering::Acquire);
-        quiet = if open == 0 { quiet + 1 } else { 0 };
+    let left = || doors.accepting.load(Ordering::Acquire) + doors.shared.clients.load(Ordering::Acquire);
+    while left() > 0 && since.elapsed() < limits.stop_at_last {
         std::thread::sleep(LOOK);
     }
     eprintln!("stop: done, {} requests open", doors.shared.open.load(Ordering::Acquire));
