Connections are read on after their close only where an answer may be on its way

Change: a connection that is idle, was left or broke the protocol closes as it did before; one that closes behind an answer, in a drain or at the end is read on, and gives its seat up at once where others want it.

--- a/wrenseam/src/front/fastcgi.rs
+++ b/wrenseam/src/front/fastcgi.rs
@@ -181,7 +181,12 @@
         live.values().for_each(|l| l.gone.store(true, Ordering::Release));
     }
     let _ = doors.core.send(Message::Hangup(seat.occupant.number)); // the core only ends with the program
-    side.out.linger(stream, &doors.limits);
+                                                                    // An answer may be on its way there; else nothing is lost by a close that takes no time and no seat.
+    if side.out.closing() {
+        side.out.linger(stream, &doors.limits);
+    } else {
+        side.out.drop_now();
+    }
 }
 
 struct Reader<'a> {
@@ -210,7 +215,10 @@
                 Err(e) => return Err(e.to_string()),
             };
             let between = self.partial.is_empty() && got.is_empty();
-            if self.side.out.closing() || ending && nothing && between && self.side.occupant.is_idle() {
+            if ending && nothing && between && self.side.occupant.is_idle() {
+                self.side.out.close();
+            }
+            if self.side.out.closing() {
                 return Ok(());
             }
             loop {
@@ -242,6 +250,9 @@
                 }
                 self.overdue(&limits)?;
                 if self.partial.is_empty() && got.is_empty() && self.side.occupant.outstayed(&limits) {
+                    if self.doors.shared.draining.load(Ordering::Acquire) {
+                        self.side.out.close();
+                    }
                     return Ok(());
                 }
             }
--- a/wrenseam/src/front/kserve.rs
+++ b/wrenseam/src/front/kserve.rs
@@ -115,7 +115,12 @@
         slots.iter().for_each(|s| s.gone.store(true, Ordering::Release));
     }
     let _ = doors.core.send(Message::Hangup(seat.occupant.number)); // the core only ends with the program
-    side.out.linger(stream, &doors.limits);
+                                                                    // An answer may be on its way there; else nothing is lost by a close that takes no time and no seat.
+    if side.out.closing() {
+        side.out.linger(stream, &doors.limits);
+    } else {
+        side.out.drop_now();
+    }
 }
 
 /// What becomes of a request at once.
@@ -153,7 +158,10 @@
                 Err(e) => return Err(e.to_string()),
             };
             let between = part.is_none() && ring.is_empty();
-            if self.side.out.closing() || ending && nothing && between && self.side.occupant.is_idle() {
+            if ending && nothing && between && self.side.occupant.is_idle() {
+                self.side.out.close();
+            }
+            if self.side.out.closing() {
                 return Ok(());
             }
             // Guards as the other front does, against requests that never come whole and connections that
@@ -163,6 +171,9 @@
                 return Err("a request never came whole".to_owned());
             }
             if part.is_none() && ring.is_empty() && self.side.occupant.outstayed(limits) {
+                if self.doors.shared.draining.load(Ordering::Acquire) {
+                    self.side.out.close();
+                }
                 return Ok(());
             }
             while !ring.is_empty() {
--- a/wrenseam/src/net.rs
+++ b/wrenseam/src/net.rs
@@ -42,6 +42,7 @@
 #[derive(Default)]
 struct Ending {
     closing: AtomicBool,
+    dropped: AtomicBool,
     written: AtomicBool,
 }
 
@@ -96,13 +97,14 @@
         let _ = self.chunks.send(Chunk::Close); // a writer that has ended has closed it already
     }
 
-    /// Ends the connection at once: nothing is owed on it, or its client does not read what it is owed.
+    /// Ends the connection, without reading on, once what is queued has been written: nothing is owed on it, its client
+    /// has left, or does not read what it is owed.
     pub fn drop_now(&self) {
-        self.ending.closing.store(true, Ordering::Release);
+        self.ending.dropped.store(true, Ordering::Release);
         let _ = self.chunks.send(Chunk::Drop);
     }
 
-    /// Whether the connection is being closed from this side.
+    /// Whether the connection is to be closed in order.
     pub fn closing(&self) -> bool {
         self.ending.closing.load(Ordering::Acquire)
     }
@@ -113,14 +115,17 @@
     pub fn linger(&self, mut stream: TcpStream, limits: &Limits) {
         self.close();
         let (since, mut passed, mut bytes) = (Instant::now(), 0, vec![0; limits.client_ring]);
-        let mut ended = stream.set_read_timeout(Some(limits.linger / 8)).is_err();
+        let mut ended = stream.set_read_timeout(Some(limits.linger / 32)).is_err();
         while !ended && passed <= limits.discard {
             match stream.read(&mut bytes) {
                 Ok(n) if n > 0 => passed += n,
                 Err(e) if timed_out(&e) => {}
                 _ => ended = true,
             }
-            ended |= since.elapsed() > limits.linger && self.ending.written.load(Ordering::Acquire);
+            let written = self.ending.written.load(Ordering::Acquire);
+            // Its seat may be wanted for others before its time is up.
+            ended |=
+                written && (since.elapsed() > limits.linger || self.ending.dropped.load(Ordering::Acquire));
         }
         while !self.ending.written.load(Ordering::Acquire) {
             may::coroutine::sleep(limits.linger / 64); // the writer ends by itself: see `Limits::write_stall`
--- a/wrenseam/src/shutdown.rs
+++ b/wrenseam/src/shutdown.rs
@@ -40,7 +40,12 @@
     // back. With no seat taken and nobody accepting nothing is left; no count passes from one to another meanwhile.
     doors.ending.store(true, Ordering::Release);
     let since = Instant::now();
-    let left = || doors.accepting.load(Ordering::Acquire) + doors.shared.clients.load(Ordering::Acquire);
+    let left = || {
+        // A loop that was not woken by its listener's close holds no connection: it waits for one.
+        let accepting = doors.accepting.load(Ordering::Acquire);
+        let taking = if since.elapsed() < limits.linger { accepting } else { 0 };
+        taking + doors.shared.clients.load(Ordering::Acquire)
+    };
     while left() > 0 && since.elapsed() < limits.stop_at_last {
         std::thread::sleep(LOOK);
     }
