Settings of a wrong type are told, at a start as by check; a short wait is not all margin

Cause: bramblepath::json reads what is of another type as absent, without a word (`number(fields, key).unwrap_or(0.0)`), an unknown effect counts as never to run twice likewise, and 'no classes' was an error to `check` alone. Core::left() kept 80 ms of every wait for the answer's way, of a wait of 100 ms four fifths.

Change: Settings::faults names each setting of a wrong type, below 0, or of an unknown effect, with the default that holds; a start logs them, `check` prints them, both refuse settings without classes. The margin is a quarter of the wait at the most. Checked: seven settings in tests/cli.rs, the margin in limits.rs. Ruled out: a panic on odd figures (tests/properties.rs draws them).

--- a/wrenseam/src/cli.rs
+++ b/wrenseam/src/cli.rs
@@ -44,15 +44,14 @@
         return Err(format!("the fleet's shed_order names {unknown}, which is no class of the settings"));
     }
     let (classes, tenants) = (config.settings.classes.len(), config.settings.tenants.len());
-    if classes == 0 {
-        return Err("the settings name no classes: every request would fail".to_owned());
-    }
     let listen = config.listen;
     let door = config.admin.map_or(String::new(), |a| format!(", the operators' door at {a}"));
     let fleet =
         fleet.map_or(String::new(), |f| format!(", gossip at {} with {} seeds", f.listen, f.seeds.len()));
+    let faults: String =
+        config.faults.iter().map(|why| format!("\nsettings: {why}; taken as not stated")).collect();
     Ok(format!(
-        "{} would listen on {listen}{door}{fleet}, with {classes} classes and {tenants} tenants",
+        "{} would listen on {listen}{door}{fleet}, with {classes} classes and {tenants} tenants{faults}",
         config.name
     ))
 }
--- a/wrenseam/src/config.rs
+++ b/wrenseam/src/config.rs
@@ -20,6 +20,8 @@
     pub seed: u64,
     /// The settings of the deployment.
     pub settings: Settings,
+    /// What in them cannot be used and counts as not stated.
+    pub faults: Vec<String>,
     /// All limits.
     pub limits: Limits,
     /// The KServe v2 front, where it is on.
@@ -175,7 +177,10 @@
     fn read(fields: &Object, listen: Option<String>, name: Option<String>) -> Read<Config> {
         let empty = Object::new();
         let part = |key: &str| part(fields, key).unwrap_or(&empty);
-        let settings = Settings::from_json(part("settings"));
+        let (settings, faults) = (Settings::from_json(part("settings")), Settings::faults(part("settings")));
+        if settings.classes.is_empty() {
+            return Err("the settings name no classes: every request would fail".to_owned());
+        }
         let limit = |key: &str, other: f64| number(part("limits"), key).unwrap_or(other) as u64;
         let listen = match listen {
             Some(l) => Some(l.parse().map_err(|_| format!("NODE_LISTEN is not HOST:PORT: {l}"))?),
@@ -195,6 +200,7 @@
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("'seed' is not hex: {seed}"))?,
             limits: Limits::new(limit("memory_mb", 192.0), limit("sockets", 1024.0), &settings),
             settings,
+            faults,
             kserve: None,
             admin,
             fleet: None,
--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -298,7 +298,7 @@
     /// machine that stands still for some tens of milliseconds just before a client leaves.
     fn left(&self, now: Micros, request: &Request) -> Micros {
         let past = now.saturating_sub(self.clock.at(request.read_at));
-        request.wait.saturating_sub(past + self.limits.answer_margin)
+        request.wait.saturating_sub(past + self.limits.margin(request.wait))
     }
 
     fn count(&mut self, tenant: Option<usize>) -> &mut Counts {
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -34,6 +34,9 @@
 
 /// Runs one front end until it has been told to stop and nothing is open.
 pub fn run(config: Config, signals: signal_hook::iterator::Signals) -> Result<(), String> {
+    for why in &config.faults {
+        eprintln!("settings: {why}; taken as not stated");
+    }
     let limits = Arc::new(config.limits);
     // One core is ours: more scheduler threads would only take turns on it.
     may::config().set_workers(1).set_stack_size(limits.stack / size_of::<usize>()).set_pool_capacity(64);
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -174,6 +174,13 @@
     }
 }
 
+impl Limits {
+    /// What of a client's wait is kept for the way of its answer: of a short wait no more than a quarter.
+    pub fn margin(&self, wait: Micros) -> Micros {
+        self.answer_margin.min(wait / 4)
+    }
+}
+
 /// Counts the bytes held over all requests against one bound.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -251,6 +258,13 @@
         }
     }
 
+    #[test]
+    fn a_short_wait_is_not_all_kept_for_the_answers_way() {
+        let limits = Limits::new(192, 1024, &Settings::default());
+        let margins = [100_000, 280_000, 4_000_000].map(|wait| limits.margin(wait));
+        assert_eq!(margins, [25_000, 70_000, 80_000]);
+    }
+
     #[test]
     fn clients_leave_descriptors_for_workers_and_board() {
         let limits = Limits::new(192, 1024, &Settings::default());
--- a/wrenseam/tests/cli.rs
+++ b/wrenseam/tests/cli.rs
@@ -4,6 +4,10 @@
 
 const CLASS: &str = r#""settings":{"classes":[{"name":"tile-render"}]}"#;
 
+fn settings(more: &str) -> String {
+    format!(r#"{{"listen":"127.0.0.1:0","settings":{{"classes":[{{"name":"tile-render"}}],{more}}}}}"#)
+}
+
 #[rstest]
 #[case::sound(format!(r#"{{"name":"n1","listen":"127.0.0.1:0",{CLASS}}}"#), true, "n1 would listen on 127.0.0.1:0")]
 #[case::no_json("{".to_owned(), false, "check: ")]
@@ -13,8 +17,24 @@
 #[case::bad_door(format!(r#"{{"listen":"127.0.0.1:0","admin":"9901",{CLASS}}}"#), false, "'admin' is not HOST:PORT")]
 #[case::door_on_the_clients_address(format!(r#"{{"listen":"127.0.0.1:7","admin":"127.0.0.1:7",{CLASS}}}"#), false, "'admin' is the clients' address")]
 #[case::no_classes(r#"{"listen":"127.0.0.1:0"}"#.to_owned(), false, "no classes")]
+#[case::a_text_for_a_figure(
+    settings(r#""limits":{"max-attempts":"six"}"#),
+    true,
+    "'limits.max-attempts' is no number"
+)]
+#[case::below_nothing(settings(r#""rules":{"fall":-1}"#), true, "'rules.fall' is below 0")]
+#[case::no_object(settings(r#""family-info":7"#), true, "'family-info' is no object")]
+#[case::no_list(settings(r#""tenants":{}"#), true, "'tenants' is no list")]
+#[case::a_class_that_is_none(settings(r#""tenants":[7]"#), true, "'tenants' is no object")]
+#[case::a_mark_in_words(settings(r#""limits":{"may-cancel":"yes"}"#), true, "'limits.may-cancel' is neither")]
+#[case::an_unknown_effect(
+    r#"{"listen":"127.0.0.1:0","settings":{"classes":[{"name":"c","effect":"idempotent"}]}}"#.to_owned(),
+    true,
+    "effect 'idempotent' is not known: never to run twice"
+)]
 fn check_says_what_is_wrong(#[case] text: String, #[case] sound: bool, #[case] said: &str) {
-    let name = format!("wrenseam-check-{}-{}.json", std::process::id(), text.len());
+    let name =
+        format!("wrenseam-check-{}-{said}.json", std::process::id()).replace(['/', ':', '\'', ' '], "-");
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, text).expect("written");
     let run = Command::new(env!("CARGO_BIN_EXE_wrenseam")).arg("check").arg(&path).output().expect("run");
