--- a/wrenseam/src/front/fastcgi.rs
+++ b/wrenseam/src/front/fastcgi.rs
@@ -215,10 +215,11 @@
                 Err(e) => return Err(e.to_string()),
             };
             let between = self.partial.is_empty() && got.is_empty();
-            if ending && nothing && between && self.side.occupant.is_idle() {
+            let ended = ending && nothing && between && self.side.occupant.is_idle();
+            if ended && self.side.occupant.answered_within(limits.linger) {
                 self.side.out.close();
             }
-            if self.side.out.closing() {
+            if ended || self.side.out.closing() {
                 return Ok(());
             }
             loop {
@@ -250,7 +251,7 @@
                 }
                 self.overdue(&limits)?;
                 if self.partial.is_empty() && got.is_empty() && self.side.occupant.outstayed(&limits) {
-                    if self.doors.shared.draining.load(Ordering::Acquire) {
+                    if self.side.occupant.answered_within(limits.linger) {
                         self.side.out.close();
                     }
                     return Ok(());
--- a/wrenseam/src/front/kserve.rs
+++ b/wrenseam/src/front/kserve.rs
@@ -158,10 +158,11 @@
                 Err(e) => return Err(e.to_string()),
             };
             let between = part.is_none() && ring.is_empty();
-            if ending && nothing && between && self.side.occupant.is_idle() {
+            let ended = ending && nothing && between && self.side.occupant.is_idle();
+            if ended && self.side.occupant.answered_within(limits.linger) {
                 self.side.out.close();
             }
-            if self.side.out.closing() {
+            if ended || self.side.out.closing() {
                 return Ok(());
             }
             // Guards as the other front does, against requests that never come whole and connections that
@@ -171,7 +172,7 @@
                 return Err("a request never came whole".to_owned());
             }
             if part.is_none() && ring.is_empty() && self.side.occupant.outstayed(limits) {
-                if self.doors.shared.draining.load(Ordering::Acquire) {
+                if self.side.occupant.answered_within(limits.linger) {
                     self.side.out.close();
                 }
                 return Ok(());
--- a/wrenseam/src/net.rs
+++ b/wrenseam/src/net.rs
@@ -9,7 +9,7 @@
 use std::net::Shutdown;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 static CONNECTIONS: AtomicU64 = AtomicU64::new(1);
 
@@ -237,6 +237,11 @@
         self.state.lock().is_ok_and(|s| s.0.open == 0)
     }
 
+    /// Whether an answer may still be on its way: one was given so recently.
+    pub fn answered_within(&self, span: Duration) -> bool {
+        self.state.lock().is_ok_and(|s| s.0.since.elapsed() <= span)
+    }
+
     /// Whether nothing has been owed here for so long that the connection should end. Guards descriptors and
     /// memory against connections that say nothing, or ask once and stay. Usual clients close sooner.
     pub fn outstayed(&self, limits: &Limits) -> bool {
