--- a/fleetlab/src/lab.rs
+++ b/fleetlab/src/lab.rs
@@ -119,7 +119,10 @@
 /// # Errors
 /// A port, a file or a process could not be had; a front end did not start.
 pub fn run(scenario: &Scenario, program: &Path, folder: &Path) -> Result<Outcome, String> {
-    std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    // Absolute from here on: the program looks for the files that its files name beside those.
+    let folder = &std::fs::create_dir_all(folder)
+        .and_then(|()| folder.canonicalize())
+        .map_err(|e| format!("{}: {e}", folder.display()))?;
     let before = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |why| {
         PANICKED.store(true, Ordering::Release);
@@ -342,10 +345,15 @@
     fn stands(&self, starting: Starting) -> Result<Front, String> {
         let Starting { f, child, lines } = starting;
         let (mut door, mut front, mut gossip) = (None, None, None);
+        let mut last_line = "nothing".to_owned();
         while door.is_none() || front.is_none() || (self.scenario.fleet && gossip.is_none()) {
             let line = lines.recv_timeout(LISTENS).map_err(|e| match e {
-                RecvTimeoutError::Timeout => format!("front end {f} says nothing and does not listen"),
-                RecvTimeoutError::Disconnected => format!("front end {f} ended before it listened"),
+                RecvTimeoutError::Timeout => {
+                    format!("front end {f} says nothing and does not listen; it said last: {last_line}")
+                }
+                RecvTimeoutError::Disconnected => {
+                    format!("front end {f} ended before it listened; it said last: {last_line}")
+                }
             })?;
             let address = || line.rsplit_once(" listens on ").and_then(|(_, a)| a.parse().ok());
             if line.contains("the operators' door listens on") {
@@ -355,6 +363,7 @@
             } else if line.contains("gossip listens on") {
                 gossip = address();
             }
+            last_line = line;
         }
         if let Some(g) = gossip {
             self.real.write().map_err(|_| "poisoned")?[f] = Some(g);
--- a/fleetlab/tests/lab.rs
+++ b/fleetlab/tests/lab.rs
@@ -137,6 +137,43 @@
     assert!(!out.status.success() && told.contains("does not listen"), "{told}");
 }
 
+/// Runs the lab in `folder`, as somebody who types the command there would, with a relative `--out`.
+fn run_in(folder: &Path, out: &str, program: &Path) -> Output {
+    let quick = STORM.replace(r#""seconds":5"#, r#""seconds":1"#).replace(r#""at_s":1,"#, r#""at_s":0.5,"#);
+    std::fs::write(folder.join("scenario.json"), quick).expect("written");
+    let mut lab = Command::new(env!("CARGO_BIN_EXE_fleetlab"));
+    lab.current_dir(folder).args(["run", "scenario.json", "--out", out, "--program"]).arg(program);
+    lab.output().expect("the lab runs")
+}
+
+#[rstest]
+#[case::a_name("lab-out")]
+#[case::below_a_folder("a/b")]
+#[case::with_dots("./x/../lab-out")]
+fn a_relative_folder_will_do(#[case] out: &str) {
+    let exe = PathBuf::from(env!("CARGO_BIN_EXE_fleetlab"));
+    let wrenseam = program(exe.parent().expect("a folder")).unwrap_or_else(|why| panic!("{why}"));
+    let folder = folder(&format!("relative-{}", out.len()));
+    std::fs::create_dir_all(folder.join("x")).expect("a folder");
+    let ran = run_in(&folder, out, &wrenseam);
+    assert!(ran.status.success(), "{}", String::from_utf8_lossy(&ran.stderr));
+    assert!(folder.join(out).join("report.md").is_file());
+}
+
+/// What a front end that ends before it listens said last is in the lab's own message.
+#[test]
+fn the_last_line_of_a_front_end_that_ends_is_told() {
+    let folder = folder("last-line");
+    let ends = folder.join("ends");
+    std::fs::write(&ends, "#!/bin/sh\necho first >&2\necho 'start: the disk is full' >&2\nexit 1\n")
+        .expect("written");
+    std::fs::set_permissions(&ends, PermissionsExt::from_mode(0o755)).expect("set");
+    let ran = run_in(&folder, "out", &ends);
+    let told = String::from_utf8_lossy(&ran.stderr).into_owned();
+    assert!(!ran.status.success() && told.contains("ended before it listened"), "{told}");
+    assert!(told.contains("it said last: start: the disk is full"), "{told}");
+}
+
 /// Tests of `fleetlab` alone do not build the program that they start.
 #[test]
 fn what_to_build_is_told() {
--- a/wrenseam/tests/cli.rs
+++ b/wrenseam/tests/cli.rs
@@ -42,3 +42,22 @@
     let all = String::from_utf8_lossy(&[run.stdout, run.stderr].concat()).into_owned();
     assert!(run.status.success() == sound && all.contains(said), "{all}");
 }
+
+/// The samples that README's start line and docs/fleet.md name are read as they lie in the repository.
+#[test]
+fn the_samples_under_deploy_are_sound() {
+    let deploy = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy");
+    let run = Command::new(env!("CARGO_BIN_EXE_wrenseam"))
+        .arg("check")
+        .arg(deploy.join("config.json"))
+        .arg("--kserve")
+        .arg(deploy.join("kserve.json"))
+        .arg("--fleet")
+        .arg(deploy.join("fleet.json"))
+        .output()
+        .expect("run");
+    let all = String::from_utf8_lossy(&[run.stdout, run.stderr].concat()).into_owned();
+    assert!(run.status.success(), "{all}");
+    assert!(all.contains("front-1 would listen on 127.0.0.1:8443"), "{all}");
+    assert!(!all.contains("taken as not stated"), "{all}");
+}
