--- a/scalelab/src/gossip.rs
+++ b/scalelab/src/gossip.rs
@@ -6,8 +6,8 @@
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use wrenseam::fleet::identity::{AVERAGE_VERSION, MAX_PRESSURE};
 use wrenseam::fleet::node::EXTRA_TRANSMISSIONS;
-use wrenseam::fleet::view::{MAX_PRESSURE, VIEW_VERSION};
 use wrenseam::fleet::{FleetNews, Node, NodeSettings, Summary, Swim, SwimSettings};
 
 /// A millisecond, in simulated microseconds.
@@ -18,41 +18,41 @@
 pub const ZONES: usize = 7;
 /// Bytes of IPv4 and UDP before each datagram.
 pub const IP_UDP: u64 = 28;
-/// Lives as the program's: microseconds of the Unix time.
-const LIFE: u64 = 1_790_000_000_000_000;
+/// Incarnations as the program's: microseconds of the Unix time.
+const FIRST_INCARNATION: u64 = 1_790_000_000_000_000;
 
 /// Which program a front end runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
     /// The one with the view.
-    View,
+    Average,
     /// The one before it: a summary of each front end to all.
     Summaries,
 }
 
 enum Program {
-    View(Box<Node>),
+    Average(Box<Node>),
     Summaries(Box<Swim>),
 }
 
 impl Program {
     fn datagram(&mut self, now: u64, bytes: &[u8]) {
         match self {
-            Program::View(n) => n.datagram(now, bytes),
+            Program::Average(n) => n.datagram(now, bytes),
             Program::Summaries(s) => s.datagram(now, bytes),
         }
     }
 
     fn next(&self) -> u64 {
         match self {
-            Program::View(n) => n.next(),
+            Program::Average(n) => n.next(),
             Program::Summaries(s) => s.next().unwrap_or(u64::MAX),
         }
     }
 
     fn tick(&mut self, now: u64) {
         match self {
-            Program::View(n) => n.tick(now),
+            Program::Average(n) => n.tick(now),
             Program::Summaries(s) => s.tick(now),
         }
     }
@@ -60,7 +60,7 @@
     fn publish(&mut self, now: u64, own: u32, seeds: &[SocketAddr]) -> FleetNews {
         let summary = Summary { pressure: own, ..Summary::default() };
         match self {
-            Program::View(n) => n.publish(now, summary),
+            Program::Average(n) => n.publish(now, summary),
             Program::Summaries(s) => {
                 s.publish(now, summary);
                 if s.alive() == 0 {
@@ -79,7 +79,7 @@
 
     fn outbox(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
         match self {
-            Program::View(n) => {
+            Program::Average(n) => {
                 n.events();
                 n.outbox()
             }
@@ -101,7 +101,7 @@
     /// What it last made of the fleet.
     pub news: FleetNews,
     kind: Kind,
-    life: u64,
+    incarnation: u64,
     publish_at: u64,
     wake_at: u64,
 }
@@ -189,7 +189,7 @@
                 side: 0,
                 news: FleetNews::default(),
                 kind,
-                life: LIFE + i as u64,
+                incarnation: FIRST_INCARNATION + i as u64,
                 publish_at: 0,
                 wake_at: u64::MAX,
             })
@@ -221,7 +221,7 @@
         self.fronts[i].program = None;
     }
 
-    /// Starts front end `i` in a new life `after` microseconds from now.
+    /// Starts front end `i` in a new incarnation `after` microseconds from now.
     pub fn start(&mut self, i: usize, after: u64) {
         let kind = self.fronts[i].kind;
         self.start_as(i, after, kind);
@@ -232,15 +232,17 @@
         let seed = self.rng.random();
         let at = self.now + after;
         let f = &mut self.fronts[i];
-        f.life += 1_000_000 + at;
+        f.incarnation += 1_000_000 + at;
         f.kind = kind;
         f.program = Some(match kind {
-            Kind::View => {
+            Kind::Average => {
                 let swim = SwimSettings { extra_transmissions: EXTRA_TRANSMISSIONS, ..self.settings };
                 let settings = NodeSettings { swim, seeds: self.seeds.clone(), summaries: true };
-                Program::View(Box::new(Node::new(addr(i), f.life, settings, seed)))
+                Program::Average(Box::new(Node::new(addr(i), f.incarnation, settings, seed)))
+            }
+            Kind::Summaries => {
+                Program::Summaries(Box::new(Swim::new(addr(i), f.incarnation, self.settings, seed)))
             }
-            Kind::Summaries => Program::Summaries(Box::new(Swim::new(addr(i), f.life, self.settings, seed))),
         });
         f.publish_at = at;
         f.news = FleetNews::default();
@@ -394,7 +396,7 @@
         let n = bytes.len() as u64;
         self.datagrams += 1;
         self.sent += n;
-        if bytes.get(2) == Some(&VIEW_VERSION) {
+        if bytes.get(2) == Some(&AVERAGE_VERSION) {
             self.view += n;
             return;
         }
@@ -454,7 +456,7 @@
             "Front ends' traffic, error of the mean and time to notice, with the view; no loss, probe 500 ms.",
         sizes: SIZES,
         bound: BOUND,
-        run: |sizes, seed| Ok(vec![sweep("the view of bounded size", sizes, seed, Kind::View)?]),
+        run: |sizes, seed| Ok(vec![sweep("the view of bounded size", sizes, seed, Kind::Average)?]),
     },
     Experiment {
         name: "gossip-before",
@@ -637,7 +639,7 @@
     for trouble in TROUBLES {
         let mut rows = Vec::new();
         for &size in sizes {
-            let mut net = Net::settled(size as usize, Kind::View, seed)?;
+            let mut net = Net::settled(size as usize, Kind::Average, seed)?;
             rows.push((size, trouble.run(&mut net)));
         }
         let title = format!("Gossip with the view: {} (probe 500 ms, seed {seed})", trouble.name);
--- a/scalelab/tests/gossip.rs
+++ b/scalelab/tests/gossip.rs
@@ -2,7 +2,8 @@
 //! seeded and in simulated time, so the figures are the same every run.
 use rstest::rstest;
 use scalelab::gossip::{addr, Kind, Net, Tally, CLUSTER, IP_UDP, MS, ZONES};
-use wrenseam::fleet::view::{Exchange, MAX_FLOW, RINGS, VIEW_VERSION};
+use wrenseam::fleet::average::{Exchange, MAX_FLOW, RINGS};
+use wrenseam::fleet::identity::AVERAGE_VERSION;
 use wrenseam::fleet::FleetNews;
 
 const S: u64 = 1000 * MS;
@@ -25,21 +26,21 @@
 
 /// Half of the 22 KB/s is left to configuration; what goes before the view shows that this tells the two apart.
 #[rstest]
-#[case::few(10, Kind::View, true)]
-#[case::more(60, Kind::View, true)]
-#[case::many(100, Kind::View, true)]
+#[case::few(10, Kind::Average, true)]
+#[case::more(60, Kind::Average, true)]
+#[case::many(100, Kind::Average, true)]
 #[case::before_the_view(60, Kind::Summaries, false)]
 fn a_front_end_sends_and_receives_under_11_kb(#[case] n: usize, #[case] kind: Kind, #[case] holds: bool) {
     let t = steady(n, kind, 1);
     assert_eq!(each(t, n) <= 11_000, holds, "{} bytes/s each: {t:?}", each(t, n));
     assert_eq!(t.sent, t.swim + t.members + t.summaries + t.view);
-    assert_eq!(t.summaries == 0, kind == Kind::View, "{t:?}");
+    assert_eq!(t.summaries == 0, kind == Kind::Average, "{t:?}");
 }
 
 #[test]
 fn bytes_are_the_same_every_run_and_do_not_grow_with_the_fleet() {
     let (some, again, more) =
-        (steady(60, Kind::View, 2), steady(60, Kind::View, 2), steady(120, Kind::View, 2));
+        (steady(60, Kind::Average, 2), steady(60, Kind::Average, 2), steady(120, Kind::Average, 2));
     assert_eq!((some.datagrams, some.sent, some.received), (again.datagrams, again.sent, again.received));
     // Twice the fleet: under a tenth more. A front end of a full graph would send twice as much.
     assert!(each(more, 120) * 10 < each(some, 60) * 11, "{} and {}", each(some, 60), each(more, 120));
@@ -49,7 +50,7 @@
 fn a_step_is_seen_by_all_within_3_s(
     #[values(3, 10, 30, 100)] n: usize, #[values((0.0, 0.0), (0.01, 0.05))] (loss, twice): (f64, f64),
 ) {
-    let mut net = settled(n, Kind::View, 3);
+    let mut net = settled(n, Kind::Average, 3);
     (net.loss, net.twice) = (loss, twice);
     for to in [4000, 100] {
         net.step(to);
@@ -66,7 +67,7 @@
 fn loads_that_change_each_period_do_not_shake_the_mean(
     #[case] more: u32, #[case] worst: f64, #[case] rms: f64,
 ) {
-    let mut net = settled(100, Kind::View, 4);
+    let mut net = settled(100, Kind::Average, 4);
     net.redraw = Some(more);
     net.run(net.now + 5 * S);
     let (mut most, mut square) = (0.0f64, 0.0);
@@ -86,7 +87,7 @@
 /// The zone that goes carries three times its capacity: the mean falls by some half as it goes.
 #[rstest]
 fn a_zone_lost_and_back_is_seen(#[values(14, 35, 70)] n: usize, #[values(0.0, 0.01)] loss: f64) {
-    let mut net = settled(n, Kind::View, 5);
+    let mut net = settled(n, Kind::Average, 5);
     net.loss = loss;
     zone(&net).into_iter().for_each(|i| net.fronts[i].pressure = 3000);
     net.run(net.now + 5 * S);
@@ -103,7 +104,7 @@
 /// Two minutes: longer than SWIM remembers a peer that is down.
 #[rstest]
 fn regions_cut_for_long_go_by_their_own_and_find_each_other(#[values(14, 42)] n: usize) {
-    let mut net = settled(n, Kind::View, 6);
+    let mut net = settled(n, Kind::Average, 6);
     for (i, f) in net.fronts.iter_mut().enumerate().filter(|(i, _)| i % ZONES >= 4) {
         (f.pressure, f.side) = (2000 + i as u32, 1);
     }
@@ -118,7 +119,7 @@
 /// One answer holds some 60 members: who starts into a larger fleet asks on until its list is full.
 #[test]
 fn a_front_end_that_starts_counts_a_large_fleet_soon() {
-    let mut net = settled(160, Kind::View, 11);
+    let mut net = settled(160, Kind::Average, 11);
     net.kill(9);
     net.run(net.now + 10 * S);
     net.start(9, 0);
@@ -129,7 +130,7 @@
 /// Regions that find each other have much to tell: no second of it passes 36 KB, and the limit is 22 a second.
 #[test]
 fn news_of_many_members_are_spread_over_time() {
-    let mut net = settled(98, Kind::View, 12);
+    let mut net = settled(98, Kind::Average, 12);
     net.fronts.iter_mut().enumerate().for_each(|(i, f)| f.side = u8::from(i % ZONES >= 4));
     net.run(net.now + 60 * S);
     net.fronts.iter_mut().for_each(|f| f.side = 0);
@@ -148,7 +149,7 @@
 fn restarts_at_once_or_spread_leave_no_error(
     #[values(20, 60)] n: usize, #[values(1, 5)] down_s: u64, #[values(0, 2)] apart_s: u64,
 ) {
-    let mut net = settled(n, Kind::View, 7);
+    let mut net = settled(n, Kind::Average, 7);
     for i in 2..2 + (n * 12).div_ceil(100) {
         net.kill(i);
         net.start(i, down_s * S);
@@ -167,12 +168,12 @@
 #[case::back_and_forth(|x: &mut Exchange| (x.flow, x.estimate) = if x.seq.is_multiple_of(2) { (i32::MAX, 0) } else { (i32::MIN, i32::MAX) })]
 fn a_liar_moves_the_mean_by_its_flows_and_no_more(#[case] lie: fn(&mut Exchange)) {
     const N: usize = 98;
-    let mut net = settled(N, Kind::View, 8);
+    let mut net = settled(N, Kind::Average, 8);
     let truth = net.truth(0).0;
     net.tamper = Some((
         5,
         Box::new(move |bytes| {
-            if let Some(mut x) = Exchange::decode(bytes).filter(|_| bytes[2] == VIEW_VERSION) {
+            if let Some(mut x) = Exchange::decode(bytes).filter(|_| bytes[2] == AVERAGE_VERSION) {
                 lie(&mut x);
                 let header = *bytes.first_chunk().expect("decoded");
                 *bytes = x.encode(&header);
@@ -198,7 +199,7 @@
 /// The loads differ by the program, so a mean over one kind alone would be far off.
 #[test]
 fn front_ends_before_and_after_stand_in_one_fleet() {
-    let mut net = settled(20, Kind::View, 9);
+    let mut net = settled(20, Kind::Average, 9);
     let old = |i: usize| i % 2 == 1;
     (0..20).filter(|&i| old(i)).for_each(|i| {
         net.kill(i);
@@ -211,7 +212,7 @@
     assert!(net.fronts[1].news.dropped.foreign > 0, "the view's datagrams are foreign to it");
     (0..20).filter(|&i| old(i)).for_each(|i| {
         net.kill(i);
-        net.start_as(i, S, Kind::View);
+        net.start_as(i, S, Kind::Average);
         net.run(net.now + 3 * S);
     });
     let new = net.until(20 * S, |net| {
@@ -240,7 +241,7 @@
         each.sort_unstable();
         (each[each.len() / 2], each.iter().sum::<u64>() / seeds)
     };
-    let (before, after) = (took(Kind::Summaries), took(Kind::View));
+    let (before, after) = (took(Kind::Summaries), took(Kind::Average));
     eprintln!("{n} front ends: median and mean {before:?} us before, {after:?} after");
     assert!(
         after.0 <= before.0 + S / 10 && after.1 <= before.1 + S / 2,
@@ -252,11 +253,11 @@
 /// mean does not move.
 #[test]
 fn bad_datagrams_are_counted_and_move_nothing() {
-    let mut net = settled(10, Kind::View, 10);
+    let mut net = settled(10, Kind::Average, 10);
     let before: Vec<_> = net.fronts.iter().map(|f| f.news).collect();
     let c = CLUSTER.to_be_bytes();
-    let header = [b'w', b'F', VIEW_VERSION, c[0], c[1], c[2], c[3]];
-    let from = wrenseam::fleet::PeerId { addr: addr(500), life: u64::MAX };
+    let header = [b'w', b'F', AVERAGE_VERSION, c[0], c[1], c[2], c[3]];
+    let from = wrenseam::fleet::PeerId { addr: addr(500), incarnation: u64::MAX };
     let stranger = Exchange { answer: false, from, seq: 1, flow: i32::MAX, estimate: 0 }.encode(&header);
     let mut garbled = stranger.clone();
     garbled[20] ^= 1;
@@ -272,7 +273,7 @@
     net.run(net.now + S);
     for (f, before) in net.fronts.iter().zip(before) {
         let counts = |n: &FleetNews| {
-            let (d, v) = (n.dropped, n.view_dropped);
+            let (d, v) = (n.dropped, n.average_dropped);
             [d.oversized, d.foreign, d.garbled, v.garbled, v.stale, v.stranger]
         };
         let more: Vec<_> = counts(&f.news).iter().zip(counts(&before)).map(|(a, b)| a - b).collect();
--- a/wrenseam/src/fleet/view.rs
+++ b/wrenseam/src/fleet/average.rs
@@ -6,7 +6,8 @@
 //! pressure passed over it; a front end's estimate is its own pressure less the sum of its flows. An exchange
 //! over an edge brings both estimates to their middle. Flows are told as they stand, not as changes: a lost or
 //! repeated datagram costs time and no mass, and an edge that ends takes its flow with it on both sides.
-use super::swim::PeerId;
+use super::identity::AVERAGE_VERSION;
+use super::identity::{header, put_address, take, take_address, PeerId, HEADER_BYTES, MAX_PRESSURE};
 use bramblepath::Micros;
 use rand::{rngs::SmallRng, RngExt, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
@@ -17,13 +18,8 @@
 pub const RINGS: usize = 4;
 /// Exchanges that a front end begins in a probe period.
 pub const EXCHANGES_A_PROBE: Micros = 5;
-/// The largest pressure that counts, in thousandths of capacity: at 8 times its capacity a fleet already
-/// refuses 7 in 8. Larger ones count as this.
-pub const MAX_PRESSURE: u32 = 8000;
 /// The largest flow over an edge, in thousandths: two front ends alone at 0 and [`MAX_PRESSURE`] need half of it.
 pub const MAX_FLOW: u32 = MAX_PRESSURE / 2;
-/// The version byte of these datagrams; SWIM's have 1, and front ends that know only 1 count these as foreign.
-pub const VIEW_VERSION: u8 = 2;
 
 /// Estimates and flows are counted in units of a thousandth of a thousandth.
 const UNIT: i32 = 1000;
@@ -41,14 +37,13 @@
 const TOLD_TURNS: usize = EXCHANGES_A_PROBE as usize;
 const KIND_ASK: u8 = 0;
 const KIND_ANSWER: u8 = 1;
-const HEADER: usize = 7;
 
-/// Datagrams of the view that were dropped, by cause.
+/// Datagrams of the averaging that were dropped, by cause.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ViewDropped {
+pub struct AverageDropped {
     /// Cut short, of an unknown kind, or the checksum does not match.
     pub garbled: u64,
-    /// Of an earlier life of the peer, a repeat, or older than one taken before.
+    /// Of an earlier incarnation of the peer, a repeat, or older than one taken before.
     pub stale: u64,
     /// From no neighbour, or not its part to ask or answer.
     pub stranger: u64,
@@ -59,7 +54,7 @@
 pub struct Exchange {
     /// Answers an ask.
     pub answer: bool,
-    /// Who speaks: its gossip address, and its life.
+    /// Who speaks: its gossip address, and its incarnation.
     pub from: PeerId,
     /// Numbers the asks over an edge; an answer repeats that of its ask.
     pub seq: u32,
@@ -70,18 +65,13 @@
 }
 
 impl Exchange {
-    /// The bytes, big-endian: `header` (7), kind (1), family (1: 4 or 6), port (2), address (4 or 16), life (8),
+    /// The bytes, big-endian: `header` (7), kind (1), family (1: 4 or 6), port (2), address (4 or 16), incarnation (8),
     /// seq, flow, estimate (4 each), CRC-32 of all before it (4). 39 bytes for IPv4, 51 for IPv6.
-    pub fn encode(&self, header: &[u8; HEADER]) -> Vec<u8> {
+    pub fn encode(&self, header: &[u8; HEADER_BYTES]) -> Vec<u8> {
         let mut b = header.to_vec();
         b.push(if self.answer { KIND_ANSWER } else { KIND_ASK });
-        b.push(if self.from.addr.is_ipv4() { 4 } else { 6 });
-        b.extend(self.from.addr.port().to_be_bytes());
-        match self.from.addr {
-            SocketAddr::V4(a) => b.extend(a.ip().octets()),
-            SocketAddr::V6(a) => b.extend(a.ip().octets()),
-        }
-        b.extend(self.from.life.to_be_bytes());
+        put_address(&mut b, self.from.addr);
+        b.extend(self.from.incarnation.to_be_bytes());
         b.extend(self.seq.to_be_bytes());
         b.extend(self.flow.to_be_bytes());
         b.extend(self.estimate.to_be_bytes());
@@ -95,41 +85,29 @@
         if crc32fast::hash(body).to_be_bytes() != *crc {
             return None;
         }
-        let mut rest = body.get(HEADER..)?;
+        let mut rest = body.get(HEADER_BYTES..)?;
         let answer = match take::<1>(&mut rest)? {
             [KIND_ASK] => false,
             [KIND_ANSWER] => true,
             _ => return None,
         };
-        let [family] = take::<1>(&mut rest)?;
-        let port = u16::from_be_bytes(take(&mut rest)?);
-        let addr = match family {
-            4 => SocketAddr::from((take::<4>(&mut rest)?, port)),
-            6 => SocketAddr::from((take::<16>(&mut rest)?, port)),
-            _ => return None,
-        };
-        let life = u64::from_be_bytes(take(&mut rest)?);
+        let addr = take_address(&mut rest)?;
+        let incarnation = u64::from_be_bytes(take(&mut rest)?);
         let seq = u32::from_be_bytes(take(&mut rest)?);
         let flow = i32::from_be_bytes(take(&mut rest)?);
         let estimate = i32::from_be_bytes(take(&mut rest)?);
-        let from = PeerId { addr, life };
+        let from = PeerId { addr, incarnation };
         rest.is_empty().then_some(Exchange { answer, from, seq, flow, estimate })
     }
 }
 
-fn take<const N: usize>(rest: &mut &[u8]) -> Option<[u8; N]> {
-    let (head, tail) = rest.split_first_chunk::<N>()?;
-    *rest = tail;
-    Some(*head)
-}
-
 /// What this front end holds of one neighbour.
 #[derive(Clone, Copy, Debug)]
 struct Edge {
     /// Whether we ask over this edge; the other end answers.
     asks: bool,
-    /// The neighbour's life, once heard.
-    life: u64,
+    /// The neighbour's incarnation, once heard.
+    incarnation: u64,
     /// What we passed to it, in units; it holds the opposite.
     flow: i32,
     /// Its estimate, when last heard.
@@ -146,9 +124,9 @@
 }
 
 /// One front end's part in the averaging.
-pub struct View {
+pub struct Average {
     own: PeerId,
-    header: [u8; HEADER],
+    header: [u8; HEADER_BYTES],
     turn_for: Micros,
     /// Our own pressure as last told, in units, and as the averaging has it: a little behind.
     told: i32,
@@ -163,18 +141,18 @@
     rng: SmallRng,
     out: Vec<(SocketAddr, Vec<u8>)>,
     /// Datagrams dropped, by cause.
-    pub dropped: ViewDropped,
+    pub dropped: AverageDropped,
 }
 
-impl View {
-    /// The view of the front end `own` in the fleet named `cluster`, which begins [`EXCHANGES_A_PROBE`] exchanges
+impl Average {
+    /// The averaging of the front end `own` in the fleet named `cluster`, which begins [`EXCHANGES_A_PROBE`] exchanges
     /// in each `probe` microseconds.
-    pub fn new(own: PeerId, cluster: u32, probe: Micros, seed: u64) -> View {
+    pub fn new(own: PeerId, cluster: u32, probe: Micros, seed: u64) -> Average {
         let turn_for = (probe / EXCHANGES_A_PROBE).max(1000);
         let mut rng = SmallRng::seed_from_u64(seed ^ 0x666c_6f77);
-        View {
+        Average {
             own,
-            header: header(VIEW_VERSION, cluster),
+            header: header(AVERAGE_VERSION, cluster),
             turn_for,
             told: 0,
             value: 0,
@@ -185,7 +163,7 @@
             next_at: rng.random_range(0..turn_for),
             rng,
             out: Vec::new(),
-            dropped: ViewDropped::default(),
+            dropped: AverageDropped::default(),
         }
     }
 
@@ -210,7 +188,7 @@
             let seq = self.rng.random::<u32>();
             self.edges.entry(addr).or_insert_with(|| Edge {
                 asks,
-                life: 0,
+                incarnation: 0,
                 flow: 0,
                 estimate: None,
                 heard: now,
@@ -228,7 +206,7 @@
         self.edges.values().fold(self.value, |v, e| v - e.flow).clamp(-2 * MAX, 2 * MAX)
     }
 
-    /// When [`View::tick`] is wanted next.
+    /// When [`Average::tick`] is wanted next.
     pub fn next(&self) -> Micros {
         self.next_at
     }
@@ -249,7 +227,7 @@
         for e in self.edges.values_mut().filter(|e| now.saturating_sub(e.heard) > silent) {
             if e.estimate.is_some() {
                 // It may be back at once: asked each turn again before the pauses grow.
-                (e.flow, e.estimate, e.life, e.awaits, e.unanswered) = (0, None, 0, false, 0);
+                (e.flow, e.estimate, e.incarnation, e.awaits, e.unanswered) = (0, None, 0, false, 0);
             }
         }
         if self.asked.is_empty() {
@@ -272,7 +250,7 @@
     }
 
     /// Takes a datagram that came at `now`, whose header the caller has checked; what cannot be taken is
-    /// counted in [`View::dropped`].
+    /// counted in [`Average::dropped`].
     pub fn datagram(&mut self, now: Micros, bytes: &[u8]) {
         let Some(x) = Exchange::decode(bytes) else {
             self.dropped.garbled += 1;
@@ -282,14 +260,16 @@
             self.dropped.stranger += 1;
             return;
         };
-        let known = e.life != 0;
+        let known = e.incarnation != 0;
         let old = if x.answer { !e.awaits || x.seq != e.seq } else { x.seq.wrapping_sub(e.seq) as i32 <= 0 };
-        if known && x.from.life < e.life || old && (x.answer || x.from.life == e.life) {
+        if known && x.from.incarnation < e.incarnation
+            || old && (x.answer || x.from.incarnation == e.incarnation)
+        {
             self.dropped.stale += 1;
             return;
         }
-        // Another life holds no flow of ours: its zero replaces what the former held.
-        e.life = x.from.life;
+        // Another incarnation holds no flow of ours: its zero replaces what the former held.
+        e.incarnation = x.from.incarnation;
         e.heard = now;
         e.flow = -x.flow.clamp(-FLOW, FLOW);
         let theirs = x.estimate.clamp(0, MAX);
@@ -337,12 +317,6 @@
     }
 }
 
-/// The seven bytes that begin each datagram: `wF`, a version, the cluster's id.
-pub(super) fn header(version: u8, cluster: u32) -> [u8; HEADER] {
-    let c = cluster.to_be_bytes();
-    [b'w', b'F', version, c[0], c[1], c[2], c[3]]
-}
-
 /// The neighbours of `own` among `members`, and for each whether `own` is the one that asks: its successor on a
 /// ring. Of two that follow each other on different rings the lower address asks. All that hold the same
 /// members agree on every edge and on who asks over it.
--- /dev/null
+++ b/wrenseam/src/fleet/identity.rs
@@ -0,0 +1,81 @@
+//! What every datagram of the fleet begins with, and who speaks: the ground floor that the other modules of the
+//! fleet stand on. No I/O.
+use serde::{Deserialize, Serialize};
+use std::net::{IpAddr, SocketAddr};
+
+/// The largest datagram sent or taken, in bytes.
+pub const MAX_DATAGRAM: usize = 1400;
+/// Bytes of the header that all datagrams share.
+pub const HEADER_BYTES: usize = 7;
+/// Version byte of SWIM's datagrams.
+pub const SWIM_VERSION: u8 = 1;
+/// Version byte of the averaging's datagrams; front ends that know only [`SWIM_VERSION`] count these as foreign.
+pub const AVERAGE_VERSION: u8 = 2;
+/// The largest pressure that counts, in thousandths of capacity: at 8 times its capacity a fleet already
+/// refuses 7 in 8. Larger ones count as this.
+pub const MAX_PRESSURE: u32 = 8000;
+/// The largest incarnation that counts: half of the range, so that no told one can leave an owner without a larger.
+pub const MAX_INCARNATION: u64 = u64::MAX / 2;
+
+const FAMILY_V4: u8 = 4;
+const FAMILY_V6: u8 = 6;
+
+/// A front end in the fleet: its gossip address, and which start of the process at that address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PeerId {
+    /// Where its gossip socket is bound.
+    pub addr: SocketAddr,
+    /// Larger with each start, and with each rejoin after it was declared down.
+    pub incarnation: u64,
+}
+
+impl foca::Identity for PeerId {
+    type Addr = SocketAddr;
+
+    fn renew(&self) -> Option<Self> {
+        let incarnation = self.incarnation.checked_add(1).filter(|&i| i <= MAX_INCARNATION)?;
+        Some(PeerId { incarnation, ..*self })
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    fn win_addr_conflict(&self, adversary: &Self) -> bool {
+        self.incarnation > adversary.incarnation
+    }
+}
+
+/// The header of a datagram: `wF`, a version, the cluster's id (big-endian).
+pub fn header(version: u8, cluster: u32) -> [u8; HEADER_BYTES] {
+    let c = cluster.to_be_bytes();
+    [b'w', b'F', version, c[0], c[1], c[2], c[3]]
+}
+
+/// Appends an address: family (1: 4 or 6), port (2), the address itself (4 or 16), big-endian.
+pub fn put_address(bytes: &mut Vec<u8>, addr: SocketAddr) {
+    bytes.push(if addr.is_ipv4() { FAMILY_V4 } else { FAMILY_V6 });
+    bytes.extend(addr.port().to_be_bytes());
+    match addr.ip() {
+        IpAddr::V4(ip) => bytes.extend(ip.octets()),
+        IpAddr::V6(ip) => bytes.extend(ip.octets()),
+    }
+}
+
+/// Takes an address that [`put_address`] wrote off the front of `rest`.
+pub fn take_address(rest: &mut &[u8]) -> Option<SocketAddr> {
+    let [family] = take::<1>(rest)?;
+    let port = u16::from_be_bytes(take(rest)?);
+    match family {
+        FAMILY_V4 => Some(SocketAddr::from((take::<4>(rest)?, port))),
+        FAMILY_V6 => Some(SocketAddr::from((take::<16>(rest)?, port))),
+        _ => None,
+    }
+}
+
+/// Takes so many bytes off the front of `rest`; `None` if it holds fewer.
+pub fn take<const N: usize>(rest: &mut &[u8]) -> Option<[u8; N]> {
+    let (head, tail) = rest.split_first_chunk::<N>()?;
+    *rest = tail;
+    Some(*head)
+}
--- a/wrenseam/src/fleet/node.rs
+++ b/wrenseam/src/fleet/node.rs
@@ -1,7 +1,8 @@
-//! One front end's gossip as a whole, without I/O: membership ([`Swim`]), the view of the mean ([`View`]), the
-//! way back to peers that were cut off, and the summaries that front ends from before the view want to hear.
-use super::swim::{Dropped, PeerEvent, PeerId, Swim, SwimSettings};
-use super::view::{View, ViewDropped, VIEW_VERSION};
+//! One front end's gossip as a whole, without I/O: membership ([`Swim`]), the mean pressure ([`Average`]), the
+//! way back to peers that were cut off, and the summaries that front ends from before the averaging want to hear.
+use super::average::{Average, AverageDropped};
+use super::identity::{PeerId, AVERAGE_VERSION};
+use super::swim::{Dropped, PeerEvent, Swim, SwimSettings};
 use super::Summary;
 use bramblepath::Micros;
 use rand::{rngs::SmallRng, RngExt, SeedableRng};
@@ -36,7 +37,7 @@
     pub swim: SwimSettings,
     /// Peers asked to let us join; asked again when not counted alive.
     pub seeds: Vec<SocketAddr>,
-    /// Whether to publish summaries while a front end from before the view is heard.
+    /// Whether to publish summaries while a front end from before the averaging is heard.
     pub summaries: bool,
 }
 
@@ -47,20 +48,20 @@
     pub alive: usize,
     /// Mean in-flight over capacity of the fleet, in thousandths.
     pub pressure: u32,
-    /// Neighbours of the view heard from lately, and all that are held.
+    /// Neighbours of the averaging heard from lately, and all that are held.
     pub edges: (usize, usize),
-    /// Whether a front end from before the view is in the fleet, and the mean is of summaries.
+    /// Whether a front end from before the averaging is in the fleet, and the mean is of summaries.
     pub mixed: bool,
     /// Datagrams dropped, by cause.
     pub dropped: Dropped,
-    /// Datagrams of the view dropped, by cause.
-    pub view_dropped: ViewDropped,
+    /// Datagrams of the averaging dropped, by cause.
+    pub average_dropped: AverageDropped,
 }
 
 /// One front end's gossip.
 pub struct Node {
     swim: Swim,
-    view: View,
+    average: Average,
     settings: NodeSettings,
     rng: SmallRng,
     /// Peers declared down and not seen since, and when they were lost.
@@ -74,12 +75,12 @@
 }
 
 impl Node {
-    /// The front end at `own` in its `life`, with a seeded generator.
-    pub fn new(own: SocketAddr, life: u64, settings: NodeSettings, seed: u64) -> Node {
+    /// The front end at `own` in its `incarnation`, with a seeded generator.
+    pub fn new(own: SocketAddr, incarnation: u64, settings: NodeSettings, seed: u64) -> Node {
         let (cluster, probe) = (settings.swim.cluster, settings.swim.probe);
         Node {
-            swim: Swim::new(own, life, settings.swim, seed),
-            view: View::new(PeerId { addr: own, life }, cluster, probe, seed),
+            swim: Swim::new(own, incarnation, settings.swim, seed),
+            average: Average::new(PeerId { addr: own, incarnation }, cluster, probe, seed),
             settings,
             rng: SmallRng::seed_from_u64(seed ^ 0x6c6f_7374),
             lost: BTreeMap::new(),
@@ -93,8 +94,8 @@
 
     /// Takes a datagram that came at `now`.
     pub fn datagram(&mut self, now: Micros, bytes: &[u8]) {
-        if self.swim.is_ours(bytes, VIEW_VERSION) {
-            self.view.datagram(now, bytes);
+        if self.swim.is_ours(bytes, AVERAGE_VERSION) {
+            self.average.datagram(now, bytes);
         } else {
             self.swim.datagram(now, bytes);
             self.regroup(now);
@@ -103,26 +104,26 @@
 
     /// When [`Node::tick`] is wanted next.
     pub fn next(&self) -> Micros {
-        self.swim.next().unwrap_or(Micros::MAX).min(self.view.next())
+        self.swim.next().unwrap_or(Micros::MAX).min(self.average.next())
     }
 
     /// Runs what is due at `now`.
     pub fn tick(&mut self, now: Micros) {
         self.swim.tick(now);
         self.regroup(now);
-        self.view.tick(now);
+        self.average.tick(now);
     }
 
     /// The view's neighbours follow a change of the members.
     fn regroup(&mut self, now: Micros) {
         if self.swim.changed() {
-            self.view.members(now, self.swim.members());
+            self.average.members(now, self.swim.members());
         }
     }
 
     /// Each probe period: tells the fleet our load, asks for peers that are missing, and says how the fleet is.
     pub fn publish(&mut self, now: Micros, own: Summary) -> FleetNews {
-        self.view.set(own.pressure);
+        self.average.set(own.pressure);
         let mixed = self.settings.summaries && self.swim.mixed(now);
         if mixed {
             self.swim.publish(now, Summary { views: true, ..own });
@@ -136,14 +137,14 @@
         }
         self.ask_missing(now);
         self.regroup(now);
-        self.pressure = if mixed { self.swim.pressure(now, own.pressure) } else { self.view.pressure() };
+        self.pressure = if mixed { self.swim.pressure(now, own.pressure) } else { self.average.pressure() };
         FleetNews {
             alive: self.swim.alive(),
             pressure: self.pressure,
-            edges: self.view.edges(),
+            edges: self.average.edges(),
             mixed,
             dropped: self.swim.dropped,
-            view_dropped: self.view.dropped,
+            average_dropped: self.average.dropped,
         }
     }
 
@@ -175,7 +176,7 @@
     /// Datagrams to send, with their addresses.
     pub fn outbox(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
         let mut out = self.swim.outbox();
-        out.append(&mut self.view.outbox());
+        out.append(&mut self.average.outbox());
         self.sent += out.iter().map(|(_, bytes)| bytes.len() as u64).sum::<u64>();
         out
     }
--- a/wrenseam/src/fleet/swim.rs
+++ b/wrenseam/src/fleet/swim.rs
@@ -1,11 +1,11 @@
 //! Membership between front ends by SWIM, on the `foca` crate, without I/O: datagrams come in as bytes
 //! with the time, and what is to be sent, and when to be woken, is collected for the caller. Load summaries
-//! ride on foca's messages as custom broadcasts, where front ends that know no view ([`super::view`]) want them.
+//! ride on foca's messages as custom broadcasts, where front ends that take no part in the averaging ([`super::average`]) want them.
+use super::identity::{header, PeerId, HEADER_BYTES, MAX_DATAGRAM, SWIM_VERSION};
 use super::summary::{Offered, Summaries, Summary, SummaryError};
 use bramblepath::Micros;
 use foca::{BroadcastHandler, Config, Foca, Invalidates, Notification, PostcardCodec, Runtime, Timer};
 use rand::{rngs::SmallRng, SeedableRng};
-use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
@@ -13,40 +13,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-/// The largest datagram sent or taken, in bytes.
-pub const MAX_DATAGRAM: usize = 1400;
-const HEADER: usize = 7;
-const VERSION: u8 = 1;
 /// A peer that is down is remembered as such for twice the time in which all are probed, and from one minute to an
 /// hour: a process whose clock was set back comes in again only after it.
 const DOWN_FOR: Duration = Duration::from_secs(60);
 const DOWN_FOR_MOST: Duration = Duration::from_secs(3600);
 
-/// A front end in the fleet: its gossip address, and which life of the process at that address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct PeerId {
-    /// Where its gossip socket is bound.
-    pub addr: SocketAddr,
-    /// Larger with each start, and with each rejoin after it was declared down.
-    pub life: u64,
-}
-
-impl foca::Identity for PeerId {
-    type Addr = SocketAddr;
-
-    fn renew(&self) -> Option<Self> {
-        Some(PeerId { addr: self.addr, life: self.life.wrapping_add(1) })
-    }
-
-    fn addr(&self) -> SocketAddr {
-        self.addr
-    }
-
-    fn win_addr_conflict(&self, adversary: &Self) -> bool {
-        self.life > adversary.life
-    }
-}
-
 /// The settings of membership, in microseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct SwimSettings {
@@ -86,7 +57,7 @@
     Down(PeerId),
     /// This front end lost all its peers.
     Alone,
-    /// This front end was declared down by the others and came back under a new life.
+    /// This front end was declared down by the others and came back under a new incarnation.
     Rejoined,
 }
 
@@ -137,7 +108,7 @@
     events: Vec<(Micros, PeerEvent)>,
     /// A peer came up or went down since this was last asked.
     changed: bool,
-    header: [u8; HEADER],
+    header: [u8; HEADER_BYTES],
 }
 
 /// A timer with an order, so that the heap can hold it.
@@ -170,7 +141,7 @@
     }
 
     fn send_to(&mut self, to: PeerId, data: &[u8]) {
-        let mut bytes = Vec::with_capacity(HEADER + data.len());
+        let mut bytes = Vec::with_capacity(HEADER_BYTES + data.len());
         bytes.extend_from_slice(&self.header);
         bytes.extend_from_slice(data);
         self.out.push((to.addr, bytes));
@@ -199,15 +170,15 @@
 }
 
 impl Swim {
-    /// Membership for the front end at `own`, in its `life`, with a seeded generator.
-    pub fn new(own: SocketAddr, life: u64, settings: SwimSettings, seed: u64) -> Swim {
+    /// Membership for the front end at `own`, in its `incarnation`, with a seeded generator.
+    pub fn new(own: SocketAddr, incarnation: u64, settings: SwimSettings, seed: u64) -> Swim {
         let size = NonZeroU32::new(settings.expected.clamp(1, 100_000) as u32).unwrap_or(NonZeroU32::MIN);
         let mut config = Config::new_lan(size);
         let probe = Duration::from_micros(settings.probe.max(10_000));
         config.probe_period = probe;
         config.probe_rtt = probe / 2;
         config.suspect_to_down_after = Duration::from_micros(settings.suspect_for.max(settings.probe));
-        config.max_packet_size = NonZeroUsize::new(MAX_DATAGRAM - HEADER).unwrap_or(NonZeroUsize::MIN);
+        config.max_packet_size = NonZeroUsize::new(MAX_DATAGRAM - HEADER_BYTES).unwrap_or(NonZeroUsize::MIN);
         let times = config.max_transmissions.saturating_add(settings.extra_transmissions);
         config.max_transmissions = times;
         // Who missed the news of a peer that is down finds out by its own probes, one a period, and until then tells
@@ -225,11 +196,10 @@
         }
         let held = Arc::new(Mutex::new((Summaries::new(settings.capacity, settings.fresh_for), 0)));
         let handler = Gossiped { own, held: held.clone() };
-        let id = PeerId { addr: own, life };
+        let id = PeerId { addr: own, incarnation };
         let rng = SmallRng::seed_from_u64(seed);
         let foca = Foca::with_custom_broadcast(id, config.clone(), rng, PostcardCodec, handler);
-        let outside =
-            Outside { header: super::view::header(VERSION, settings.cluster), ..Outside::default() };
+        let outside = Outside { header: header(SWIM_VERSION, settings.cluster), ..Outside::default() };
         Swim {
             foca,
             outside,
@@ -277,7 +247,7 @@
         self.at(now);
         if seed != self.own.addr {
             // An error here is foca's word that the seed is ourselves: nothing to do.
-            let _ = self.foca.announce(PeerId { addr: seed, life: 0 }, &mut self.outside);
+            let _ = self.foca.announce(PeerId { addr: seed, incarnation: 0 }, &mut self.outside);
         }
     }
 
@@ -286,9 +256,9 @@
         self.at(now);
         if bytes.len() > MAX_DATAGRAM {
             self.dropped.oversized += 1;
-        } else if bytes.len() < HEADER || bytes[..HEADER] != self.outside.header {
+        } else if bytes.len() < HEADER_BYTES || bytes[..HEADER_BYTES] != self.outside.header {
             self.dropped.foreign += 1;
-        } else if self.foca.handle_data(&bytes[HEADER..], &mut self.outside).is_err() {
+        } else if self.foca.handle_data(&bytes[HEADER_BYTES..], &mut self.outside).is_err() {
             self.dropped.garbled += 1;
         }
     }
@@ -355,7 +325,7 @@
         self.foca.iter_members().map(|m| m.id().addr)
     }
 
-    /// Whether a fresh summary is of a front end that knows no view (see [`Summary::views`]).
+    /// Whether a fresh summary is of a front end that takes no part in the averaging (see [`Summary::views`]).
     pub fn mixed(&self, now: Micros) -> bool {
         self.held.lock().unwrap_or_else(PoisonError::into_inner).0.fresh(now).any(|s| !s.views)
     }
@@ -370,133 +340,3 @@
         self.held.lock().unwrap_or_else(PoisonError::into_inner).0.fresh(now).copied().collect()
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use rand::RngExt;
-    use rstest::rstest;
-
-    const MS: Micros = 1000;
-
-    fn settings() -> SwimSettings {
-        SwimSettings {
-            cluster: 7,
-            probe: 100 * MS,
-            suspect_for: 300 * MS,
-            expected: 5,
-            extra_transmissions: 0,
-            fresh_for: 1000 * MS,
-            capacity: 64,
-        }
-    }
-
-    fn addr(n: usize) -> SocketAddr {
-        SocketAddr::from(([127, 0, 0, 1], 7000 + n as u16))
-    }
-
-    /// A fleet on a network of chance: `loss` of datagrams lost, `dup` repeated, all delayed 1 to 20 ms
-    /// (and so reordered). `dead` front ends stop at `dead_at`.
-    struct Net {
-        swims: Vec<Swim>,
-        flight: Vec<(Micros, usize, Vec<u8>)>,
-        rng: SmallRng,
-        loss: f64,
-        dup: f64,
-        dead: Vec<usize>,
-        dead_at: Micros,
-    }
-
-    impl Net {
-        fn new(n: usize, loss: f64, dup: f64, seed: u64) -> Net {
-            let mut swims: Vec<Swim> =
-                (0..n).map(|i| Swim::new(addr(i), 1, settings(), seed + i as u64)).collect();
-            (1..n).for_each(|i| swims[i].join(0, addr(0)));
-            let rng = SmallRng::seed_from_u64(seed);
-            Net { swims, flight: Vec::new(), rng, loss, dup, dead: Vec::new(), dead_at: Micros::MAX }
-        }
-
-        fn run(&mut self, until: Micros) -> Vec<(Micros, usize, PeerEvent)> {
-            let mut seen = Vec::new();
-            let mut now = 0;
-            while now < until {
-                now += MS;
-                for i in 0..self.swims.len() {
-                    let gone = self.dead.contains(&i) && now >= self.dead_at;
-                    if gone {
-                        self.swims[i].outbox();
-                        continue;
-                    }
-                    if now % (200 * MS) == 0 {
-                        let s = Summary { pressure: 1000 + i as u32, ..Summary::default() };
-                        self.swims[i].publish(now, s);
-                    }
-                    self.swims[i].tick(now);
-                    for (to, bytes) in self.swims[i].outbox() {
-                        let to = (to.port() - 7000) as usize;
-                        let copies = if self.rng.random::<f64>() < self.dup { 2 } else { 1 };
-                        for _ in 0..copies {
-                            if self.rng.random::<f64>() >= self.loss {
-                                let at = now + self.rng.random_range(1..20) * MS;
-                                self.flight.push((at, to, bytes.clone()));
-                            }
-                        }
-                    }
-                    seen.extend(self.swims[i].events().into_iter().map(|(at, e)| (at, i, e)));
-                }
-                let (due, later): (Vec<_>, Vec<_>) = self.flight.drain(..).partition(|f| f.0 <= now);
-                self.flight = later;
-                for (_, to, bytes) in due {
-                    if !(self.dead.contains(&to) && now >= self.dead_at) {
-                        self.swims[to].datagram(now, &bytes);
-                    }
-                }
-            }
-            seen
-        }
-    }
-
-    #[rstest]
-    #[case::clean(0.0, 0.0)]
-    #[case::lossy_and_repeated(0.1, 0.2)]
-    fn all_find_all_and_hear_their_summaries(#[case] loss: f64, #[case] dup: f64) {
-        let mut net = Net::new(5, loss, dup, 11);
-        net.run(3000 * MS);
-        for (i, s) in net.swims.iter().enumerate() {
-            assert_eq!(s.alive(), 4, "front end {i}");
-            assert_eq!(s.summaries(3000 * MS).len(), 4, "front end {i}");
-            // Pressures 1000 to 1004, all heard: their mean.
-            assert_eq!(s.pressure(3000 * MS, 1000 + i as u32), 1002, "front end {i}");
-        }
-    }
-
-    #[test]
-    fn a_dead_peer_is_declared_down_within_the_bound() {
-        let mut net = Net::new(5, 0.0, 0.0, 3);
-        net.dead = vec![4];
-        net.dead_at = 2000 * MS;
-        let seen = net.run(4000 * MS);
-        for i in 0..4 {
-            let down = seen
-                .iter()
-                .find(|(_, at, e)| *at == i && *e == PeerEvent::Down(PeerId { addr: addr(4), life: 1 }));
-            let (when, _, _) = down.unwrap_or_else(|| panic!("front end {i} never noticed: {seen:?}"));
-            // Probe period, round trip and suspicion, and the news spread to all: well under a second here.
-            assert!(*when - 2000 * MS < 1000 * MS, "front end {i} at {when}");
-            assert_eq!(net.swims[i].alive(), 3);
-        }
-    }
-
-    #[rstest]
-    #[case::empty(vec![])]
-    #[case::other_cluster({ let mut b = vec![b'w', b'F', 1, 0, 0, 0, 8]; b.extend([1; 40]); b })]
-    #[case::garbled({ let mut b = vec![b'w', b'F', 1, 0, 0, 0, 7]; b.extend([0xff; 40]); b })]
-    #[case::oversized(vec![0; MAX_DATAGRAM + 1])]
-    fn bad_datagrams_are_counted_and_dropped(#[case] bytes: Vec<u8>) {
-        let mut s = Swim::new(addr(0), 1, settings(), 1);
-        s.datagram(0, &bytes);
-        let d = s.dropped;
-        assert_eq!(d.oversized + d.foreign + d.garbled, 1, "{d:?}");
-        assert_eq!(s.alive(), 0);
-    }
-}
--- a/wrenseam/src/gossip.rs
+++ b/wrenseam/src/gossip.rs
@@ -3,8 +3,9 @@
 //! what the fleet looks like. All decisions are in `crate::fleet`; this file only carries.
 use crate::config::Fleet;
 use crate::core::{Clock, Message, Shared};
+use crate::fleet::identity::MAX_DATAGRAM;
 use crate::fleet::node::EXTRA_TRANSMISSIONS;
-use crate::fleet::swim::{Dropped, MAX_DATAGRAM};
+use crate::fleet::swim::Dropped;
 use crate::fleet::{Node, NodeSettings, PeerEvent, SwimSettings};
 use bramblepath::Micros;
 use may::net::UdpSocket;
@@ -43,7 +44,7 @@
         capacity: CAPACITY,
     };
     let settings = NodeSettings { swim, seeds: fleet.seeds.clone(), summaries: fleet.summaries };
-    // A later start at the same address wins over the life before it: the clock's Unix microseconds.
+    // A later start at the same address wins over the incarnation before it: the clock's Unix microseconds.
     let node = Node::new(own, clock.now(), settings, seed);
     let period = fleet.probe_ms * 1000;
     crate::net::spawn(stack, move || carry(socket, node, clock, period, core, shared))
@@ -91,7 +92,9 @@
                 PeerEvent::Up(p) => note!("fleet: peer {} up, {} alive", p.addr, node.alive()),
                 PeerEvent::Down(p) => note!("fleet: peer {} down, {} alive", p.addr, node.alive()),
                 PeerEvent::Alone => note!("fleet: no peer alive; own budget only"),
-                PeerEvent::Rejoined => note!("fleet: declared down by peers, rejoined under a new life"),
+                PeerEvent::Rejoined => {
+                    note!("fleet: declared down by peers, rejoined under a new incarnation")
+                }
             }
         }
         let next = node.next().min(publish_at);
--- a/wrenseam/tests/fleet_view.rs
+++ b/wrenseam/tests/fleet_average.rs
@@ -4,8 +4,8 @@
 use rstest::rstest;
 use std::net::SocketAddr;
 use wrenseam::config::Fleet;
-use wrenseam::fleet::view::{neighbours, Exchange, ViewDropped, MAX_FLOW, RINGS};
-use wrenseam::fleet::{PeerId, Summaries, Summary, View};
+use wrenseam::fleet::average::{neighbours, AverageDropped, Exchange, MAX_FLOW, RINGS};
+use wrenseam::fleet::{Average, PeerId, Summaries, Summary};
 
 const MS: u64 = 1000;
 const HEADER: [u8; 7] = [b'w', b'F', 2, 0, 0, 0, 7];
@@ -15,7 +15,7 @@
 }
 
 fn peer(i: usize) -> PeerId {
-    PeerId { addr: addr(i), life: 5 }
+    PeerId { addr: addr(i), incarnation: 5 }
 }
 
 /// However large the fleet, and whoever is in it: each edge is held by both ends and asked over by one.
@@ -40,7 +40,7 @@
 #[case::v4("10.1.2.3:7946", 39)]
 #[case::v6("[fd00::7]:9", 51)]
 fn an_exchange_round_trips_and_any_flipped_bit_is_caught(#[case] addr: &str, #[case] long: usize) {
-    let from = PeerId { addr: addr.parse().expect("an address"), life: u64::MAX - 2 };
+    let from = PeerId { addr: addr.parse().expect("an address"), incarnation: u64::MAX - 2 };
     let x = Exchange { answer: true, from, seq: 77, flow: -4_000_000, estimate: 123 };
     let good = x.encode(&HEADER);
     assert_eq!((Exchange::decode(&good), good.len()), (Some(x), long));
@@ -52,40 +52,40 @@
     (0..good.len()).for_each(|cut| assert_eq!(Exchange::decode(&good[..cut]), None));
 }
 
-/// A few views on a wire that this test holds.
+/// A few front ends on a wire that this test holds.
 struct Wire {
-    views: Vec<View>,
+    averages: Vec<Average>,
     now: u64,
 }
 
 impl Wire {
     /// Pressures 0, 1000, 2000 and so on.
     fn new(n: usize) -> Wire {
-        let views = (0..n)
+        let averages = (0..n)
             .map(|i| {
-                let mut view = View::new(peer(i), 7, 500 * MS, i as u64);
-                view.members(0, (0..n).map(addr));
-                view.set(1000 * i as u32);
-                view
+                let mut average = Average::new(peer(i), 7, 500 * MS, i as u64);
+                average.members(0, (0..n).map(addr));
+                average.set(1000 * i as u32);
+                average
             })
             .collect();
-        Wire { views, now: 0 }
+        Wire { averages, now: 0 }
     }
 
     /// Runs the turns of so many milliseconds; each datagram goes through `way`, which says how often it comes.
     fn run(&mut self, ms: u64, way: &mut dyn FnMut(&Exchange) -> usize) {
         for _ in 0..ms {
             self.now += MS;
-            self.views.iter_mut().for_each(|v| v.tick(self.now));
+            self.averages.iter_mut().for_each(|v| v.tick(self.now));
             loop {
-                let out: Vec<_> = self.views.iter_mut().flat_map(View::outbox).collect();
+                let out: Vec<_> = self.averages.iter_mut().flat_map(Average::outbox).collect();
                 if out.is_empty() {
                     break;
                 }
                 for (to, bytes) in out {
-                    let to = (0..self.views.len()).find(|&i| addr(i) == to).expect("a member");
+                    let to = (0..self.averages.len()).find(|&i| addr(i) == to).expect("a member");
                     for _ in 0..way(&Exchange::decode(&bytes).expect("ours")) {
-                        self.views[to].datagram(self.now, &bytes);
+                        self.averages[to].datagram(self.now, &bytes);
                     }
                 }
             }
@@ -93,7 +93,7 @@
     }
 
     fn told(&self) -> Vec<u32> {
-        self.views.iter().map(View::pressure).collect()
+        self.averages.iter().map(Average::pressure).collect()
     }
 }
 
@@ -117,42 +117,42 @@
 /// Its edges end with it: what it had taken or given is made good, to the unit, within the silence and 4 s.
 #[rstest]
 #[case::killed(false)]
-#[case::back_in_another_life(true)]
+#[case::back_in_another_incarnation(true)]
 fn a_peer_that_goes_takes_its_part_with_it(#[case] back: bool) {
     let mut wire = Wire::new(6);
     wire.run(5_000, &mut |_| 1);
     assert_eq!(wire.told(), [2500; 6]);
-    let silent = wire.views[5].silent_for();
+    let silent = wire.averages[5].silent_for();
     wire.run(silent / MS + 4_000, &mut |x| usize::from(x.from != peer(5)));
     // Nothing of the sixth is heard: the others' mean is 0 to 4000, though it is still a member.
     assert_eq!(wire.told()[..5], [2000; 5]);
     if back {
-        let life = PeerId { life: 6, ..peer(5) };
-        wire.views[5] = View::new(life, 7, 500 * MS, 50);
-        wire.views[5].members(wire.now, (0..6).map(addr));
+        let incarnation = PeerId { incarnation: 6, ..peer(5) };
+        wire.averages[5] = Average::new(incarnation, 7, 500 * MS, 50);
+        wire.averages[5].members(wire.now, (0..6).map(addr));
         wire.run(5_000, &mut |_| 1);
-        // Its new life says nothing of load: 0 to 4000 and one 0.
+        // Its new incarnation says nothing of load: 0 to 4000 and one 0.
         assert_eq!(wire.told(), [1667; 6]);
     }
 }
 
 /// An ask and its answer between two, then the same and others anew: counted by cause, and nothing moves.
 #[rstest]
-#[case::cut_short(|x: Exchange| x.encode(&HEADER)[..20].to_vec(), ViewDropped { garbled: 1, stale: 0, stranger: 0 })]
-#[case::an_unknown_kind(|x: Exchange| { let mut b = x.encode(&HEADER); b[7] = 9; b }, ViewDropped { garbled: 1, stale: 0, stranger: 0 })]
-#[case::a_repeat(|x: Exchange| x.encode(&HEADER), ViewDropped { garbled: 0, stale: 1, stranger: 0 })]
-#[case::an_older(|x: Exchange| Exchange { seq: x.seq.wrapping_sub(1), ..x }.encode(&HEADER), ViewDropped { garbled: 0, stale: 1, stranger: 0 })]
-#[case::an_earlier_life(
-    |x: Exchange| Exchange { seq: x.seq.wrapping_add(1), from: PeerId { life: 4, ..x.from }, ..x }.encode(&HEADER),
-    ViewDropped { garbled: 0, stale: 1, stranger: 0 }
+#[case::cut_short(|x: Exchange| x.encode(&HEADER)[..20].to_vec(), AverageDropped { garbled: 1, stale: 0, stranger: 0 })]
+#[case::an_unknown_kind(|x: Exchange| { let mut b = x.encode(&HEADER); b[7] = 9; b }, AverageDropped { garbled: 1, stale: 0, stranger: 0 })]
+#[case::a_repeat(|x: Exchange| x.encode(&HEADER), AverageDropped { garbled: 0, stale: 1, stranger: 0 })]
+#[case::an_older(|x: Exchange| Exchange { seq: x.seq.wrapping_sub(1), ..x }.encode(&HEADER), AverageDropped { garbled: 0, stale: 1, stranger: 0 })]
+#[case::an_earlier_incarnation(
+    |x: Exchange| Exchange { seq: x.seq.wrapping_add(1), from: PeerId { incarnation: 4, ..x.from }, ..x }.encode(&HEADER),
+    AverageDropped { garbled: 0, stale: 1, stranger: 0 }
 )]
-#[case::no_neighbour(|x: Exchange| Exchange { from: peer(9), ..x }.encode(&HEADER), ViewDropped { garbled: 0, stale: 0, stranger: 1 })]
+#[case::no_neighbour(|x: Exchange| Exchange { from: peer(9), ..x }.encode(&HEADER), AverageDropped { garbled: 0, stale: 0, stranger: 1 })]
 #[case::an_answer_where_an_ask_belongs(
     |x: Exchange| Exchange { answer: true, ..x }.encode(&HEADER),
-    ViewDropped { garbled: 0, stale: 0, stranger: 1 }
+    AverageDropped { garbled: 0, stale: 0, stranger: 1 }
 )]
 fn what_cannot_be_taken_is_counted_and_moves_nothing(
-    #[case] bad: fn(Exchange) -> Vec<u8>, #[case] want: ViewDropped,
+    #[case] bad: fn(Exchange) -> Vec<u8>, #[case] want: AverageDropped,
 ) {
     let mut wire = Wire::new(2);
     let mut last = None;
@@ -162,15 +162,15 @@
     });
     let last = last.expect("asks went");
     let to = usize::from(last.from == peer(0));
-    let before = wire.views[to].dropped;
-    wire.views[to].datagram(wire.now, &bad(Exchange { flow: 4_000_000, estimate: 0, ..last }));
-    let after = wire.views[to].dropped;
-    let more = ViewDropped {
+    let before = wire.averages[to].dropped;
+    wire.averages[to].datagram(wire.now, &bad(Exchange { flow: 4_000_000, estimate: 0, ..last }));
+    let after = wire.averages[to].dropped;
+    let more = AverageDropped {
         garbled: after.garbled - before.garbled,
         stale: after.stale - before.stale,
         stranger: after.stranger - before.stranger,
     };
-    assert_eq!((more, wire.told(), wire.views[to].outbox().len()), (want, vec![500, 500], 0));
+    assert_eq!((more, wire.told(), wire.averages[to].outbox().len()), (want, vec![500, 500], 0));
 }
 
 /// A neighbour's claims of flow and estimate count up to the clamp, whatever they are.
@@ -179,7 +179,7 @@
 #[case(i32::MIN, i32::MIN, 0)]
 fn claims_are_clamped(#[case] flow: i32, #[case] estimate: i32, #[case] most: u32) {
     let mut wire = Wire::new(2);
-    wire.views.iter_mut().for_each(|v| v.set(4000));
+    wire.averages.iter_mut().for_each(|v| v.set(4000));
     let mut last = None;
     wire.run(5_000, &mut |x| {
         last = Some(*x).filter(|x| !x.answer).or(last);
@@ -188,8 +188,8 @@
     let last = last.expect("asks went");
     let to = usize::from(last.from == peer(0));
     let lie = Exchange { seq: last.seq.wrapping_add(1), flow, estimate, ..last };
-    wire.views[to].datagram(wire.now, &lie.encode(&HEADER));
-    let answer = Exchange::decode(&wire.views[to].outbox()[0].1).expect("an answer");
+    wire.averages[to].datagram(wire.now, &lie.encode(&HEADER));
+    let answer = Exchange::decode(&wire.averages[to].outbox()[0].1).expect("an answer");
     assert!(answer.flow.unsigned_abs() <= MAX_FLOW * 1000, "{answer:?}");
     assert!((0..=most as i32 * 1000).contains(&answer.estimate), "{answer:?}");
 }
--- /dev/null
+++ b/wrenseam/tests/fleet_gate.rs
@@ -0,0 +1,45 @@
+//! The bounds that the fleet puts on the core: the retry budget under a storm.
+use bramblepath::Settings;
+use rstest::rstest;
+use wrenseam::config::Fleet;
+use wrenseam::core::Gate;
+use wrenseam::fleet::FleetNews;
+
+fn fleet(ratio: f64, floor: f64, expected: usize) -> Fleet {
+    Fleet {
+        listen: "127.0.0.1:0".parse().expect("an address"),
+        advertise: None,
+        seeds: Vec::new(),
+        cluster: "t".to_owned(),
+        expected,
+        retry_ratio: ratio,
+        retry_floor_per_s: floor,
+        window_ms: 10_000,
+        probe_ms: 100,
+        suspect_ms: 300,
+        capacity: 10,
+        shed_order: Vec::new(),
+        shed_wait_ms: 1000,
+        summaries: true,
+    }
+}
+
+/// A retry storm at one front end of a fleet of `peers + 1`: every request asks for `tries` attempts.
+#[rstest]
+#[case::alone(0, 1, 100 + 10 + 30)]
+#[case::one_of_three(2, 1, 100 + 10 + 10)]
+#[case::one_of_thirty(29, 1, 100 + 10 + 1)]
+#[case::cut_off_but_expected_three(0, 3, 100 + 10 + 10)]
+fn a_storm_stays_within_the_budget(#[case] peers: usize, #[case] expected: usize, #[case] want: u32) {
+    let mut gate = Gate::new(&fleet(0.1, 3.0, expected), &Settings::default(), 1);
+    gate.news(0, FleetNews { alive: peers, ..FleetNews::default() });
+    let mut sent = 0;
+    for request in 0..100u64 {
+        for try_ in 0..5 {
+            sent += u32::from(gate.attempt(request * 10_000, try_ > 0));
+        }
+    }
+    assert_eq!(sent, want);
+    let s = gate.summary(1_000_000, 0);
+    assert_eq!((s.firsts, s.extras + s.firsts, s.denied), (100, want, 500 - want));
+}
--- /dev/null
+++ b/wrenseam/tests/fleet_swim.rs
@@ -0,0 +1,131 @@
+//! Membership alone on a simulated net: joining, a dead peer, bad datagrams.
+use bramblepath::Micros;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use rstest::rstest;
+use std::net::SocketAddr;
+use wrenseam::fleet::identity::MAX_DATAGRAM;
+use wrenseam::fleet::{PeerEvent, PeerId, Summary, Swim, SwimSettings};
+
+const MS: Micros = 1000;
+
+fn settings() -> SwimSettings {
+    SwimSettings {
+        cluster: 7,
+        probe: 100 * MS,
+        suspect_for: 300 * MS,
+        expected: 5,
+        extra_transmissions: 0,
+        fresh_for: 1000 * MS,
+        capacity: 64,
+    }
+}
+
+fn addr(n: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7000 + n as u16))
+}
+
+/// A fleet on a network of chance: `loss` of datagrams lost, `dup` repeated, all delayed 1 to 20 ms
+/// (and so reordered). `dead` front ends stop at `dead_at`.
+struct Net {
+    swims: Vec<Swim>,
+    flight: Vec<(Micros, usize, Vec<u8>)>,
+    rng: SmallRng,
+    loss: f64,
+    dup: f64,
+    dead: Vec<usize>,
+    dead_at: Micros,
+}
+
+impl Net {
+    fn new(n: usize, loss: f64, dup: f64, seed: u64) -> Net {
+        let mut swims: Vec<Swim> =
+            (0..n).map(|i| Swim::new(addr(i), 1, settings(), seed + i as u64)).collect();
+        (1..n).for_each(|i| swims[i].join(0, addr(0)));
+        let rng = SmallRng::seed_from_u64(seed);
+        Net { swims, flight: Vec::new(), rng, loss, dup, dead: Vec::new(), dead_at: Micros::MAX }
+    }
+
+    fn run(&mut self, until: Micros) -> Vec<(Micros, usize, PeerEvent)> {
+        let mut seen = Vec::new();
+        let mut now = 0;
+        while now < until {
+            now += MS;
+            for i in 0..self.swims.len() {
+                let gone = self.dead.contains(&i) && now >= self.dead_at;
+                if gone {
+                    self.swims[i].outbox();
+                    continue;
+                }
+                if now % (200 * MS) == 0 {
+                    let s = Summary { pressure: 1000 + i as u32, ..Summary::default() };
+                    self.swims[i].publish(now, s);
+                }
+                self.swims[i].tick(now);
+                for (to, bytes) in self.swims[i].outbox() {
+                    let to = (to.port() - 7000) as usize;
+                    let copies = if self.rng.random::<f64>() < self.dup { 2 } else { 1 };
+                    for _ in 0..copies {
+                        if self.rng.random::<f64>() >= self.loss {
+                            let at = now + self.rng.random_range(1..20) * MS;
+                            self.flight.push((at, to, bytes.clone()));
+                        }
+                    }
+                }
+                seen.extend(self.swims[i].events().into_iter().map(|(at, e)| (at, i, e)));
+            }
+            let (due, later): (Vec<_>, Vec<_>) = self.flight.drain(..).partition(|f| f.0 <= now);
+            self.flight = later;
+            for (_, to, bytes) in due {
+                if !(self.dead.contains(&to) && now >= self.dead_at) {
+                    self.swims[to].datagram(now, &bytes);
+                }
+            }
+        }
+        seen
+    }
+}
+
+#[rstest]
+#[case::clean(0.0, 0.0)]
+#[case::lossy_and_repeated(0.1, 0.2)]
+fn all_find_all_and_hear_their_summaries(#[case] loss: f64, #[case] dup: f64) {
+    let mut net = Net::new(5, loss, dup, 11);
+    net.run(3000 * MS);
+    for (i, s) in net.swims.iter().enumerate() {
+        assert_eq!(s.alive(), 4, "front end {i}");
+        assert_eq!(s.summaries(3000 * MS).len(), 4, "front end {i}");
+        // Pressures 1000 to 1004, all heard: their mean.
+        assert_eq!(s.pressure(3000 * MS, 1000 + i as u32), 1002, "front end {i}");
+    }
+}
+
+#[test]
+fn a_dead_peer_is_declared_down_within_the_bound() {
+    let mut net = Net::new(5, 0.0, 0.0, 3);
+    net.dead = vec![4];
+    net.dead_at = 2000 * MS;
+    let seen = net.run(4000 * MS);
+    for i in 0..4 {
+        let down = seen
+            .iter()
+            .find(|(_, at, e)| *at == i && *e == PeerEvent::Down(PeerId { addr: addr(4), incarnation: 1 }));
+        let (when, _, _) = down.unwrap_or_else(|| panic!("front end {i} never noticed: {seen:?}"));
+        // Probe period, round trip and suspicion, and the news spread to all: well under a second here.
+        assert!(*when - 2000 * MS < 1000 * MS, "front end {i} at {when}");
+        assert_eq!(net.swims[i].alive(), 3);
+    }
+}
+
+#[rstest]
+#[case::empty(vec![])]
+#[case::other_cluster({ let mut b = vec![b'w', b'F', 1, 0, 0, 0, 8]; b.extend([1; 40]); b })]
+#[case::garbled({ let mut b = vec![b'w', b'F', 1, 0, 0, 0, 7]; b.extend([0xff; 40]); b })]
+#[case::oversized(vec![0; MAX_DATAGRAM + 1])]
+fn bad_datagrams_are_counted_and_dropped(#[case] bytes: Vec<u8>) {
+    let mut s = Swim::new(addr(0), 1, settings(), 1);
+    s.datagram(0, &bytes);
+    let d = s.dropped;
+    assert_eq!(d.oversized + d.foreign + d.garbled, 1, "{d:?}");
+    assert_eq!(s.alive(), 0);
+}
