--- a/scalelab/src/lib.rs
+++ b/scalelab/src/lib.rs
@@ -8,9 +8,11 @@
 pub mod hollow;
 pub mod links;
 pub mod module;
+pub mod net;
 pub mod process;
 pub mod rig;
 pub mod seats;
+pub mod tally;
 pub mod yard;
 
 pub use experiment::{Column, Experiment, Fault, Sweep};
--- a/scalelab/tests/gossip.rs
+++ b/scalelab/tests/gossip.rs
@@ -1,9 +1,11 @@
 //! Hollow front ends on the simulated net: what the view costs and says, and the faults it is to bear. All is
 //! seeded and in simulated time, so the figures are the same every run.
 use rstest::rstest;
-use scalelab::gossip::{addr, Kind, Net, Tally, CLUSTER, IP_UDP, MS, ZONES};
+use scalelab::net::{addr, Kind, Net, CLUSTER, IP_UDP, MS, ZONES};
+use scalelab::tally::Tally;
 use wrenseam::fleet::average::{Exchange, MAX_FLOW, RINGS};
 use wrenseam::fleet::identity::AVERAGE_VERSION;
+use wrenseam::fleet::message::RECORDS_VERSION;
 use wrenseam::fleet::FleetNews;
 
 const S: u64 = 1000 * MS;
@@ -33,7 +35,7 @@
 fn a_front_end_sends_and_receives_under_11_kb(#[case] n: usize, #[case] kind: Kind, #[case] holds: bool) {
     let t = steady(n, kind, 1);
     assert_eq!(each(t, n) <= 11_000, holds, "{} bytes/s each: {t:?}", each(t, n));
-    assert_eq!(t.sent, t.swim + t.members + t.summaries + t.view);
+    assert_eq!(t.sent, t.swim + t.members + t.summaries + t.average + t.records);
     assert_eq!(t.summaries == 0, kind == Kind::Average, "{t:?}");
 }
 
@@ -264,9 +266,11 @@
     let mut foreign = stranger.clone();
     foreign[6] ^= 1;
     let mut newer = stranger.clone();
-    newer[2] = 3;
+    newer[2] = 9;
+    let mut records = stranger.clone();
+    records[2] = RECORDS_VERSION;
     for i in 0..10 {
-        for bytes in [&stranger, &garbled, &foreign, &newer, &vec![b'w'; 1401], &header.to_vec()] {
+        for bytes in [&stranger, &garbled, &foreign, &newer, &records, &vec![b'w'; 1401], &header.to_vec()] {
             net.inject(i, bytes);
         }
     }
@@ -274,9 +278,9 @@
     for (f, before) in net.fronts.iter().zip(before) {
         let counts = |n: &FleetNews| {
             let (d, v) = (n.dropped, n.average_dropped);
-            [d.oversized, d.foreign, d.garbled, v.garbled, v.stale, v.stranger]
+            [d.oversized, d.foreign, d.garbled, v.garbled, v.stale, v.stranger, n.records.garbled]
         };
         let more: Vec<_> = counts(&f.news).iter().zip(counts(&before)).map(|(a, b)| a - b).collect();
-        assert_eq!((more, f.news.pressure), (vec![1, 2, 0, 2, 0, 1], before.pressure));
+        assert_eq!((more, f.news.pressure), (vec![1, 2, 0, 2, 0, 1, 1], before.pressure));
     }
 }
--- a/wrenseam/src/config.rs
+++ b/wrenseam/src/config.rs
@@ -1,8 +1,10 @@
 //! What a front end is told at its start: environment, NODE_CONFIG and the file of the KServe v2 front.
+use crate::fleet::identity::{address_hash, mix};
+use crate::fleet::record::MAX_NAME_BYTES;
 use crate::limits::Limits;
 use bramblepath::json::{as_text, list, number, object, parse, part, text};
 use bramblepath::Settings;
-use miniserde::json::{Object, Value};
+use miniserde::json::{self, Object, Value};
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -24,6 +26,8 @@
     pub faults: Vec<String>,
     /// All limits.
     pub limits: Limits,
+    /// A digest of the settings; with the board's address it shows front ends that run by another configuration.
+    pub settings_digest: u64,
     /// The KServe v2 front, where it is on.
     pub kserve: Option<Kserve>,
     /// Where the operators' door listens (`admin`, or `NODE_ADMIN`), if it is wanted.
@@ -44,6 +48,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The cluster's name: datagrams of another are dropped.
     pub cluster: String,
+    /// The zone that this front end tells the others it stands in; empty: none.
+    pub zone: String,
     /// The fleet's expected size; shares of the floors are never larger than 1/expected.
     pub expected: usize,
     /// Extra attempts at most this fraction of first attempts (0 to 1).
@@ -97,7 +103,12 @@
             Some(Value::Bool(b)) => *b,
             Some(_) => return Err(format!("{path}: 'summaries' is neither true nor false")),
         };
+        let zone = text(&fields, "zone").unwrap_or("").to_owned();
+        if zone.len() > MAX_NAME_BYTES {
+            return Err(format!("{path}: 'zone' has {} bytes, {MAX_NAME_BYTES} allowed", zone.len()));
+        }
         Ok(Fleet {
+            zone,
             listen,
             advertise: address(&fields, "advertise")?,
             seeds,
@@ -182,6 +193,11 @@
         address(&file(&path)?, "board")?.ok_or(format!("{path}: no 'board'"))
     }
 
+    /// The digest of this configuration with the board at another address.
+    pub fn digest_with(settings_digest: u64, board: Option<SocketAddr>) -> u64 {
+        mix(settings_digest ^ board.map_or(0, address_hash))
+    }
+
     fn read(fields: &Object, listen: Option<String>, name: Option<String>) -> Read<Config> {
         let empty = Object::new();
         let part = |key: &str| part(fields, key).unwrap_or(&empty);
@@ -200,7 +216,9 @@
             return Err(format!("'admin' is the clients' address {same}: the door needs one of its own"));
         }
         let seed = text(fields, "seed").unwrap_or("0");
+        let settings_digest = crc32fast::hash(json::to_string(part("settings")).as_bytes());
         Ok(Config {
+            settings_digest: u64::from(settings_digest),
             name: name.or(text(fields, "name").map(str::to_owned)).unwrap_or_default(),
             listen: listen.ok_or("no address to listen on")?,
             board: address(fields, "board")?,
--- a/wrenseam/src/core/fleet.rs
+++ b/wrenseam/src/core/fleet.rs
@@ -1,7 +1,8 @@
 //! The fleet's bounds as the core applies them: shedding at arrival, the retry budget at each extra attempt.
 //! The decisions are `crate::fleet`'s; this keeps their state in the core and counts for the summary.
 use crate::config::Fleet;
-use crate::fleet::{FleetNews, FleetSize, RetryBudget, Shedder, Summary};
+use crate::fleet::traffic::TrafficKind;
+use crate::fleet::{FleetNews, FleetSize, Lifecycle, RetryBudget, Shedder, Summary};
 use bramblepath::{Micros, Settings};
 use rand::{rngs::SmallRng, RngExt, SeedableRng};
 use std::fmt::Write;
@@ -49,7 +50,8 @@
     /// News of the fleet from gossip.
     pub fn news(&mut self, now: Micros, news: FleetNews) {
         self.news = news;
-        self.size.seen(now, news.alive);
+        self.size.departed(news.departed);
+        self.size.seen(now, news.ready());
         self.shed.pressure(now, news.pressure);
     }
 
@@ -102,12 +104,28 @@
         let _ = writeln!(out, "app.fleet.edges:{}|g", n.edges.1);
         let _ = writeln!(out, "app.fleet.edges_heard:{}|g", n.edges.0);
         let _ = writeln!(out, "app.fleet.mixed:{}|g", u8::from(n.mixed));
+        for lifecycle in Lifecycle::ALL {
+            let (name, count) = (lifecycle.name(), n.by_lifecycle[lifecycle as usize]);
+            let _ = writeln!(out, "app.fleet.peers_{name}:{count}|g");
+        }
+        let _ = writeln!(out, "app.fleet.view_digest:{}|g", n.digest);
+        let _ = writeln!(out, "app.fleet.view_stood_ms:{}|g", n.digest_stood / 1000);
+        let _ = writeln!(out, "app.fleet.doubt_factor:{}|g", n.doubt_factor);
+        for kind in TrafficKind::ALL {
+            let (name, sent, held) =
+                (kind.name(), n.bytes_sent[kind as usize], n.bytes_held_back[kind as usize]);
+            let _ = writeln!(out, "app.fleet.bytes_{name}:{sent}|c");
+            let _ = writeln!(out, "app.fleet.held_back_{name}:{held}|c");
+        }
+        let _ = writeln!(out, "app.fleet.repairs:{}|c", n.records.repairs);
+        let _ = writeln!(out, "app.fleet.records_taken:{}|c", n.records.taken);
         let dropped = [
             ("oversized", d.oversized),
             ("foreign", d.foreign),
-            ("garbled", d.garbled + v.garbled),
+            ("garbled", d.garbled + v.garbled + n.records.garbled),
             ("stale", v.stale),
-            ("stranger", v.stranger),
+            ("stranger", v.stranger + n.records.stranger),
+            ("impostor", n.records.impostor),
         ];
         for (cause, count) in dropped {
             let _ = writeln!(out, "app.fleet.dropped_{cause}:{count}|c");
--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -12,13 +12,14 @@
 pub use telemetry::{Ended, Gauges, Tally};
 pub use types::*;
 
+use crate::fleet::Lifecycle;
 use crate::limits::Limits;
 use crate::membership::{Change, Duty, Membership};
 use crate::worker::{pool, transport, Reports, Transport};
 use bramblepath::{Action, Controller, Effect, Entry, Event, Micros, Outcome, Settings, WorkerState};
 use miniserde::json::{self, Number, Object, Value};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Arc;
 use timers::{Due, Timers};
@@ -40,11 +41,27 @@
     pub stopping: AtomicBool,
     /// Client connections held.
     pub clients: Arc<AtomicUsize>,
+    /// A digest of the configuration in force.
+    pub config_digest: AtomicU64,
+    /// Whether the process is about to end and the fleet is to be told.
+    pub leaving: AtomicBool,
+    /// Whether the fleet has been told.
+    pub left: AtomicBool,
     /// This front end's load summary for the fleet, as the core last wrote it.
     pub summary: std::sync::Mutex<crate::fleet::Summary>,
 }
 
 impl Shared {
+    /// What this front end is doing, for the fleet.
+    pub fn lifecycle(&self) -> Lifecycle {
+        match () {
+            () if self.leaving.load(Ordering::Acquire) => Lifecycle::Leaving,
+            () if self.draining.load(Ordering::Acquire) => Lifecycle::Draining,
+            () if self.ready.load(Ordering::Acquire) => Lifecycle::Ready,
+            () => Lifecycle::Starting,
+        }
+    }
+
     /// Whether the front end takes clients: the list is told and it does not drain. What `/healthz` says.
     pub fn taking(&self) -> bool {
         self.ready.load(Ordering::Acquire) && !self.draining.load(Ordering::Acquire)
--- a/wrenseam/src/fleet/average.rs
+++ b/wrenseam/src/fleet/average.rs
@@ -7,7 +7,9 @@
 //! over an edge brings both estimates to their middle. Flows are told as they stand, not as changes: a lost or
 //! repeated datagram costs time and no mass, and an edge that ends takes its flow with it on both sides.
 use super::identity::AVERAGE_VERSION;
-use super::identity::{header, put_address, take, take_address, PeerId, HEADER_BYTES, MAX_PRESSURE};
+use super::identity::{
+    address_hash, header, mix, put_address, take, take_address, PeerId, HEADER_BYTES, MAX_PRESSURE,
+};
 use bramblepath::Micros;
 use rand::{rngs::SmallRng, RngExt, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
@@ -250,15 +252,15 @@
     }
 
     /// Takes a datagram that came at `now`, whose header the caller has checked; what cannot be taken is
-    /// counted in [`Average::dropped`].
-    pub fn datagram(&mut self, now: Micros, bytes: &[u8]) {
+    /// counted in [`Average::dropped`]. Who sent it, if it is a neighbour's.
+    pub fn datagram(&mut self, now: Micros, bytes: &[u8]) -> Option<PeerId> {
         let Some(x) = Exchange::decode(bytes) else {
             self.dropped.garbled += 1;
-            return;
+            return None;
         };
         let Some(e) = self.edges.get_mut(&x.from.addr).filter(|e| e.asks == x.answer) else {
             self.dropped.stranger += 1;
-            return;
+            return None;
         };
         let known = e.incarnation != 0;
         let old = if x.answer { !e.awaits || x.seq != e.seq } else { x.seq.wrapping_sub(e.seq) as i32 <= 0 };
@@ -266,7 +268,7 @@
             || old && (x.answer || x.from.incarnation == e.incarnation)
         {
             self.dropped.stale += 1;
-            return;
+            return None;
         }
         // Another incarnation holds no flow of ours: its zero replaces what the former held.
         e.incarnation = x.from.incarnation;
@@ -276,15 +278,16 @@
         e.estimate = Some(theirs);
         (e.awaits, e.unanswered, e.ask_at) = (false, 0, now);
         if x.answer {
-            return;
+            return Some(x.from);
         }
         e.seq = x.seq;
         let middle = (self.estimate() - theirs) / 2;
-        let Some(e) = self.edges.get_mut(&x.from.addr) else { return };
+        let e = self.edges.get_mut(&x.from.addr)?;
         e.flow = e.flow.saturating_add(middle).clamp(-FLOW, FLOW);
         let flow = e.flow;
         let reply = Exchange { answer: true, from: self.own, seq: x.seq, flow, estimate: self.estimate() };
         self.out.push((x.from.addr, reply.encode(&self.header)));
+        Some(x.from)
     }
 
     /// Datagrams to send, with their addresses.
@@ -322,7 +325,7 @@
 /// members agree on every edge and on who asks over it.
 pub fn neighbours(own: SocketAddr, members: impl Iterator<Item = SocketAddr>) -> BTreeMap<SocketAddr, bool> {
     let place = |addr: SocketAddr, ring: usize| {
-        mix(addr_hash(addr) ^ (ring as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15))
+        mix(address_hash(addr) ^ (ring as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15))
     };
     let here: [u64; RINGS] = std::array::from_fn(|ring| place(own, ring));
     let mut after = [None::<(u64, SocketAddr)>; RINGS];
@@ -345,20 +348,3 @@
     }
     found
 }
-
-/// FNV-1a over the address and port.
-fn addr_hash(addr: SocketAddr) -> u64 {
-    let fold = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(0x0000_0100_0000_01b3);
-    let h = match addr {
-        SocketAddr::V4(a) => a.ip().octets().iter().fold(0xcbf2_9ce4_8422_2325, fold),
-        SocketAddr::V6(a) => a.ip().octets().iter().fold(0xcbf2_9ce4_8422_2325, fold),
-    };
-    addr.port().to_be_bytes().iter().fold(h, fold)
-}
-
-/// Spreads a hash over all its bits (the finalizer of SplitMix64).
-fn mix(mut h: u64) -> u64 {
-    h = (h ^ (h >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    h = (h ^ (h >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    h ^ (h >> 31)
-}
--- a/wrenseam/src/fleet/budget.rs
+++ b/wrenseam/src/fleet/budget.rs
@@ -92,7 +92,7 @@
     }
 }
 
-/// The fleet's size as this front end estimates it: itself and the peers it counts alive, held at its
+/// The fleet's size as this front end estimates it: itself and the peers that take clients, held at its
 /// largest for `hold` microseconds, and never below the `expected` size of the settings. A front end cut off
 /// from its peers thus keeps its own share for the hold and, with `expected`, ever after: it does not take the
 /// floor of the whole fleet.
@@ -110,9 +110,14 @@
         FleetSize { expected: expected.max(1), hold, largest: (1, 0) }
     }
 
-    /// This front end counts `alive` peers besides itself at `now`.
-    pub fn seen(&mut self, now: Micros, alive: usize) {
-        let size = alive + 1;
+    /// So many peers told that they no longer take clients: their share is not held for them.
+    pub fn departed(&mut self, peers: usize) {
+        self.largest.0 = self.largest.0.saturating_sub(peers).max(1);
+    }
+
+    /// This front end counts `peers` besides itself that take clients at `now`.
+    pub fn seen(&mut self, now: Micros, peers: usize) {
+        let size = peers + 1;
         if size >= self.largest.0 || now.saturating_sub(self.largest.1) > self.hold {
             self.largest = (size, now);
         }
--- /dev/null
+++ b/wrenseam/src/fleet/detector.rs
@@ -0,0 +1,161 @@
+//! How far this front end may trust its own failure detection (local health, after Lifeguard): it doubts itself
+//! before it has others declared down. No I/O; time is handed in.
+//!
+//! - Its own probes that fail in a row, and times in which it did not run, lengthen its probes and suspicions.
+//! - A suspicion is dropped once the suspect is heard from, by any datagram.
+//! - It accuses nobody while it has no proof that it is heard and hears: a probe of its own, begun no earlier than the
+//!   one that failed, has to have been acknowledged.
+use super::identity::PeerId;
+use bramblepath::Micros;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// The most that doubts in oneself add up to: probes and suspicions are at most so many times longer, and once more.
+pub const MAX_DOUBT: u32 = 8;
+
+/// A probe of ours.
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    target: PeerId,
+    number: u8,
+    began: Micros,
+    acknowledged: bool,
+}
+
+/// A peer whose probe failed, and since when.
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    id: PeerId,
+    /// When the probe that failed was begun.
+    probed: Micros,
+    since: Micros,
+}
+
+/// What becomes of a suspicion whose time is up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sentence {
+    /// The peer is declared down.
+    Down,
+    /// It was heard from: the suspicion is dropped.
+    Dropped,
+    /// We have no proof that we hear and are heard: the suspicion goes on.
+    Postponed,
+}
+
+/// This front end's failure detection, as it sees itself.
+#[derive(Debug, Default)]
+pub struct Detector {
+    probe: Option<Probe>,
+    failed_before: bool,
+    /// When the newest probe that was acknowledged had begun.
+    proven: Option<Micros>,
+    doubt: u32,
+    suspicions: BTreeMap<SocketAddr, Suspicion>,
+    /// When each peer was last heard from, by any datagram of its own.
+    heard: BTreeMap<SocketAddr, Micros>,
+    /// When anybody was.
+    heard_any: Option<Micros>,
+}
+
+impl Detector {
+    /// A probe begins; the one before it has ended.
+    pub fn probe_began(&mut self, now: Micros, target: PeerId, number: u8) {
+        if let Some(before) = self.probe.take() {
+            self.probe_ended(before.acknowledged);
+        }
+        self.probe = Some(Probe { target, number, began: now, acknowledged: false });
+    }
+
+    /// One failure may be the other's; the second in a row, of two peers, is rather ours.
+    fn probe_ended(&mut self, acknowledged: bool) {
+        if acknowledged {
+            self.doubt = self.doubt.saturating_sub(1);
+        } else if self.failed_before {
+            self.doubt = (self.doubt + 1).min(MAX_DOUBT);
+        }
+        self.failed_before = !acknowledged;
+    }
+
+    /// A probe of ours was acknowledged, by its target or by way of another.
+    pub fn acknowledged(&mut self, number: u8) {
+        if let Some(probe) = self.probe.as_mut().filter(|probe| probe.number == number) {
+            probe.acknowledged = true;
+            self.proven = Some(probe.began);
+        }
+    }
+
+    /// This front end did not run for a while.
+    pub fn stalled(&mut self) {
+        self.doubt = (self.doubt + 1).min(MAX_DOUBT);
+    }
+
+    /// How many times longer probes and suspicions are.
+    pub fn factor(&self) -> u32 {
+        1 + self.doubt
+    }
+
+    /// A datagram of this peer's own came.
+    pub fn heard(&mut self, now: Micros, addr: SocketAddr) {
+        self.heard.insert(addr, now);
+        self.heard_any = Some(now);
+    }
+
+    /// When anybody was last heard from.
+    pub fn heard_any(&self) -> Option<Micros> {
+        self.heard_any
+    }
+
+    /// When this peer was last heard from.
+    pub fn last_heard(&self, addr: SocketAddr) -> Option<Micros> {
+        self.heard.get(&addr).copied()
+    }
+
+    /// A peer is suspected from `now` on, for its failed probe if that is the one that was under way.
+    pub fn suspected(&mut self, now: Micros, id: PeerId) {
+        let probed = self.probe.filter(|probe| probe.target == id).map_or(now, |probe| probe.began);
+        self.suspicions.insert(id.addr, Suspicion { id, probed, since: now });
+    }
+
+    /// Who is suspected.
+    pub fn suspects(&self) -> impl Iterator<Item = PeerId> + '_ {
+        self.suspicions.values().map(|suspicion| suspicion.id)
+    }
+
+    /// The time of a suspicion is up.
+    pub fn sentence(&mut self, id: PeerId) -> Sentence {
+        let Some(suspicion) = self.suspicions.get(&id.addr).copied().filter(|s| s.id == id) else {
+            return Sentence::Dropped;
+        };
+        let sentence = if self.last_heard(id.addr) >= Some(suspicion.since) {
+            Sentence::Dropped
+        } else if self.is_proven_since(suspicion.probed) {
+            Sentence::Down
+        } else {
+            Sentence::Postponed
+        };
+        if sentence != Sentence::Postponed {
+            self.suspicions.remove(&id.addr);
+        }
+        sentence
+    }
+
+    /// Whether a probe of ours that began at `since` or later was acknowledged.
+    pub fn is_proven_since(&self, since: Micros) -> bool {
+        self.proven >= Some(since)
+    }
+
+    /// A peer is counted out, or alive in a new incarnation: what was held of the former is void.
+    pub fn forget(&mut self, addr: SocketAddr) {
+        self.suspicions.remove(&addr);
+        self.heard.remove(&addr);
+    }
+
+    /// Begins anew as a member that knows nobody; what it thinks of itself stays.
+    pub fn restart(&mut self) {
+        self.probe = None;
+        self.proven = None;
+        self.suspicions.clear();
+        self.heard.clear();
+        self.heard_any = None;
+    }
+}
--- /dev/null
+++ b/wrenseam/src/fleet/directory.rs
@@ -0,0 +1,400 @@
+//! What one front end knows of the fleet's members: who is alive, who is gone, and everybody's record, with a
+//! digest by which two members see at once whether they hold the same. No I/O; time is handed in.
+use super::identity::{address_hash, mix, PeerId};
+use super::record::{Facts, Lifecycle, Record, Stamp};
+use bramblepath::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// Buckets of the digest: a bit each in a message's set of buckets.
+pub const BUCKETS: usize = 64;
+/// How long a member that is gone is remembered, in microseconds: a day. Nobody who missed its end for longer can
+/// still tell of it (see `Swim::restart`), so that it does not come back by hearsay.
+pub const GONE_FOR: Micros = 86_400_000_000;
+/// Members gone that are remembered; beyond that those gone longest are forgotten.
+pub const GONE_HELD: usize = 1024;
+
+/// Whether a member takes part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Liveness {
+    /// Counted alive.
+    Alive,
+    /// Told by itself that it leaves.
+    Left,
+    /// Declared down.
+    Down,
+}
+
+impl Liveness {
+    /// All of them, by their number on the wire.
+    pub const ALL: [Liveness; 3] = [Liveness::Alive, Liveness::Left, Liveness::Down];
+
+    /// Whether it no longer takes part.
+    pub fn is_gone(self) -> bool {
+        self != Liveness::Alive
+    }
+}
+
+/// What somebody holds of a member, in short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// The member.
+    pub owner: SocketAddr,
+    /// Its incarnation, and the version of the record held; version 0: none.
+    pub stamp: Stamp,
+    /// Whether it takes part.
+    pub liveness: Liveness,
+    /// The checksum of the record's content; 0: no record.
+    pub checksum: u32,
+}
+
+/// What a claim or record means against what is held here. Only the owner writes a record, so the larger
+/// (incarnation, version) wins, and among equal incarnations gone wins over alive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Both hold the same, or neither has anything that the other needs.
+    Same,
+    /// Ours is newer: the other is to be told.
+    Behind,
+    /// A member, or an incarnation of it, that is not known here.
+    Learn,
+    /// A newer record of a known incarnation.
+    Fetch,
+    /// A newer stamp on the content held here.
+    Restamp,
+    /// The other holds as gone who is alive here: the member itself is asked first.
+    Dispute,
+    /// The member told that it leaves.
+    Left,
+    /// Somebody holds of us what we did not say, or holds our incarnation as gone: a larger stamp is needed.
+    Outbid,
+}
+
+/// A record held of a member, and the stamp under which it is known to hold.
+#[derive(Clone, Debug)]
+struct HeldRecord {
+    stamp: Stamp,
+    facts: Facts,
+    checksum: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    incarnation: u64,
+    liveness: Liveness,
+    since: Micros,
+    record: Option<HeldRecord>,
+    /// Repairs begun with it in a row that it did not answer in any way.
+    unanswered: u8,
+}
+
+impl Member {
+    /// The record of its present incarnation.
+    fn current(&self) -> Option<&HeldRecord> {
+        self.record.as_ref().filter(|held| held.stamp.incarnation == self.incarnation)
+    }
+
+    fn claim(&self, owner: SocketAddr) -> Claim {
+        let (version, checksum) = self.current().map_or((0, 0), |held| (held.stamp.version, held.checksum));
+        let stamp = Stamp { incarnation: self.incarnation, version };
+        Claim { owner, stamp, liveness: self.liveness, checksum }
+    }
+}
+
+/// Members and their records.
+pub struct Directory {
+    own: Record,
+    own_checksum: u32,
+    members: BTreeMap<SocketAddr, Member>,
+    /// Where there were members before [`Directory::forget_all`], that are not known again.
+    lost: BTreeSet<SocketAddr>,
+    buckets: [u64; BUCKETS],
+}
+
+impl Directory {
+    /// A directory that knows only its own front end.
+    pub fn new(own: Record) -> Directory {
+        let own_checksum = own.facts.checksum();
+        let mut directory = Directory {
+            own,
+            own_checksum,
+            members: BTreeMap::new(),
+            lost: BTreeSet::new(),
+            buckets: [0; BUCKETS],
+        };
+        directory.toggle(directory.own_claim());
+        directory
+    }
+
+    /// This front end's own record.
+    pub fn own(&self) -> &Record {
+        &self.own
+    }
+
+    fn own_claim(&self) -> Claim {
+        let (owner, stamp) = (self.own.owner, self.own.stamp);
+        Claim { owner, stamp, liveness: Liveness::Alive, checksum: self.own_checksum }
+    }
+
+    /// Puts this front end's own record in place; its stamp is the caller's to raise.
+    pub fn set_own(&mut self, own: Record) {
+        self.toggle(self.own_claim());
+        self.own_checksum = own.facts.checksum();
+        self.own = own;
+        self.toggle(self.own_claim());
+    }
+
+    /// Takes a live member's part out of the digest, or puts it in.
+    fn toggle(&mut self, claim: Claim) {
+        if !claim.liveness.is_gone() {
+            self.buckets[bucket_of(claim.owner)] ^= claim_hash(&claim);
+        }
+    }
+
+    /// Changes what is held of a member, and the digest with it.
+    fn change(&mut self, addr: SocketAddr, change: impl FnOnce(&mut Member)) {
+        let Some(member) = self.members.get(&addr) else { return };
+        self.toggle(member.claim(addr));
+        let Some(member) = self.members.get_mut(&addr) else { return };
+        change(member);
+        let claim = member.claim(addr);
+        self.toggle(claim);
+    }
+
+    /// Membership counts `id` alive since `now`.
+    pub fn up(&mut self, now: Micros, id: PeerId) {
+        if id.addr == self.own.owner {
+            return;
+        }
+        self.lost.remove(&id.addr);
+        self.members.entry(id.addr).or_insert(Member {
+            incarnation: id.incarnation,
+            liveness: Liveness::Down,
+            since: now,
+            record: None,
+            unanswered: 0,
+        });
+        self.change(id.addr, |member| {
+            let unanswered = if member.record.is_some() { 0 } else { member.unanswered };
+            *member = Member {
+                incarnation: id.incarnation,
+                liveness: Liveness::Alive,
+                since: now,
+                record: member.record.take(),
+                unanswered,
+            };
+        });
+    }
+
+    /// Membership replaced an incarnation by `id`, without a change of who is alive.
+    pub fn renamed(&mut self, id: PeerId) {
+        self.change(id.addr, |member| member.incarnation = member.incarnation.max(id.incarnation));
+    }
+
+    /// Membership counts `id` out since `now`; how it went.
+    pub fn gone(&mut self, now: Micros, id: PeerId) -> Liveness {
+        let leaving = |held: &HeldRecord| held.facts.lifecycle == Lifecycle::Leaving;
+        let mut how = Liveness::Down;
+        self.change(id.addr, |member| {
+            member.incarnation = id.incarnation;
+            if member.liveness == Liveness::Left || member.current().is_some_and(leaving) {
+                how = Liveness::Left;
+            }
+            member.liveness = how;
+            member.since = now;
+        });
+        how
+    }
+
+    /// Weighs what somebody holds of a member against what is held here.
+    pub fn weigh(&self, claim: &Claim) -> Verdict {
+        if claim.owner == self.own.owner {
+            return self.weigh_own(claim);
+        }
+        let Some(mine) = self.claim(claim.owner) else {
+            return if claim.liveness.is_gone() { Verdict::Same } else { Verdict::Learn };
+        };
+        let (mine_gone, theirs_gone) = (mine.liveness.is_gone(), claim.liveness.is_gone());
+        match (claim.stamp.incarnation.cmp(&mine.stamp.incarnation), mine_gone, theirs_gone) {
+            (_, true, true) => Verdict::Same,
+            (std::cmp::Ordering::Less, _, _) => Verdict::Behind,
+            (std::cmp::Ordering::Greater, _, false) => Verdict::Learn,
+            (_, false, true) if claim.liveness == Liveness::Left => Verdict::Left,
+            (_, false, true) => Verdict::Dispute,
+            (std::cmp::Ordering::Equal, true, false) => Verdict::Behind,
+            (std::cmp::Ordering::Equal, false, false) => self.weigh_record(&mine, claim),
+        }
+    }
+
+    fn weigh_own(&self, claim: &Claim) -> Verdict {
+        let own = self.own_claim();
+        let gone = claim.liveness.is_gone() && claim.stamp.incarnation >= own.stamp.incarnation;
+        let not_ours = claim.stamp == own.stamp && claim.checksum != own.checksum;
+        match () {
+            () if gone || claim.stamp > own.stamp || not_ours => Verdict::Outbid,
+            () if claim.stamp < own.stamp => Verdict::Behind,
+            () => Verdict::Same,
+        }
+    }
+
+    /// Both hold the same incarnation alive.
+    fn weigh_record(&self, mine: &Claim, claim: &Claim) -> Verdict {
+        let order = (claim.stamp.version, claim.checksum).cmp(&(mine.stamp.version, mine.checksum));
+        match order {
+            std::cmp::Ordering::Equal => Verdict::Same,
+            std::cmp::Ordering::Less => Verdict::Behind,
+            std::cmp::Ordering::Greater if self.has_content(claim) => Verdict::Restamp,
+            std::cmp::Ordering::Greater => Verdict::Fetch,
+        }
+    }
+
+    /// Whether the content that a claim is of is held, if under an older stamp.
+    pub fn has_content(&self, claim: &Claim) -> bool {
+        let held = self.members.get(&claim.owner).and_then(|member| member.record.as_ref());
+        claim.checksum != 0 && held.is_some_and(|held| held.checksum == claim.checksum)
+    }
+
+    /// Takes a newer stamp for the content held; the caller has weighed it.
+    pub fn restamp(&mut self, claim: &Claim) {
+        let stamp = claim.stamp;
+        self.change(claim.owner, |member| {
+            if let Some(held) = member.record.as_mut().filter(|held| held.stamp < stamp) {
+                held.stamp = stamp;
+            }
+        });
+    }
+
+    /// Takes a member's record unless what is held is as new; whether it was taken. Its incarnation has to be the
+    /// one that membership counts.
+    pub fn offer(&mut self, record: Record) -> bool {
+        let checksum = record.facts.checksum();
+        let newer = self.members.get(&record.owner).is_some_and(|member| {
+            let (version, held) = member.current().map_or((0, 0), |h| (h.stamp.version, h.checksum));
+            member.incarnation == record.stamp.incarnation
+                && (record.stamp.version, checksum) > (version, held)
+        });
+        if newer {
+            let held = HeldRecord { stamp: record.stamp, facts: record.facts, checksum };
+            self.change(record.owner, |member| {
+                member.record = Some(held);
+                member.unanswered = 0;
+            });
+        }
+        newer
+    }
+
+    /// What is held of a member, or of this front end itself.
+    pub fn claim(&self, addr: SocketAddr) -> Option<Claim> {
+        if addr == self.own.owner {
+            return Some(self.own_claim());
+        }
+        self.members.get(&addr).map(|member| member.claim(addr))
+    }
+
+    /// The record held of a member's present incarnation, or this front end's own.
+    pub fn record(&self, addr: SocketAddr) -> Option<Record> {
+        if addr == self.own.owner {
+            return Some(self.own.clone());
+        }
+        let held = self.members.get(&addr)?.current()?;
+        Some(Record { owner: addr, stamp: held.stamp, facts: held.facts.clone() })
+    }
+
+    /// What is held of all members in a set of buckets, this front end among them.
+    pub fn claims_in(&self, buckets: u64) -> impl Iterator<Item = Claim> + '_ {
+        let own = std::iter::once(self.own_claim());
+        let others = self.members.iter().map(|(&addr, member)| member.claim(addr));
+        own.chain(others).filter(move |claim| buckets & bucket_bit(claim.owner) != 0)
+    }
+
+    /// The digest of the whole view: who is alive, of which incarnation, with which record.
+    pub fn digest(&self) -> u64 {
+        self.buckets.iter().fold(0, |digest, &bucket| mix(digest ^ bucket))
+    }
+
+    /// The view's digests by bucket.
+    pub fn bucket_digests(&self) -> [u32; BUCKETS] {
+        self.buckets.map(|bucket| (bucket ^ (bucket >> 32)) as u32)
+    }
+
+    /// Members counted alive besides this front end.
+    pub fn alive(&self) -> impl Iterator<Item = PeerId> + '_ {
+        let alive = self.members.iter().filter(|(_, member)| !member.liveness.is_gone());
+        alive.map(|(&addr, member)| PeerId { addr, incarnation: member.incarnation })
+    }
+
+    /// Members declared down, or forgotten unheard: where a part of the fleet may have been cut off.
+    pub fn lost(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        let down = self.members.iter().filter(|(_, member)| member.liveness == Liveness::Down);
+        down.map(|(&addr, _)| addr).chain(self.lost.iter().copied())
+    }
+
+    /// Forgets all members and what they said, but for where they were.
+    pub fn forget_all(&mut self) {
+        let members = std::mem::take(&mut self.members);
+        let alive = members.iter().filter(|(_, member)| !member.liveness.is_gone());
+        self.lost.extend(alive.map(|(&addr, _)| addr).take(GONE_HELD));
+        self.buckets = [0; BUCKETS];
+        self.toggle(self.own_claim());
+    }
+
+    /// Members besides this front end by lifecycle, in the order of [`Lifecycle::ALL`]. One without a record (a front
+    /// end from before records, or one just heard of) counts as ready.
+    pub fn by_lifecycle(&self) -> [usize; Lifecycle::ALL.len()] {
+        let mut counts = [0; Lifecycle::ALL.len()];
+        for member in self.members.values().filter(|member| !member.liveness.is_gone()) {
+            let lifecycle = member.current().map_or(Lifecycle::Ready, |held| held.facts.lifecycle);
+            counts[lifecycle as usize] += 1;
+        }
+        counts
+    }
+
+    /// Whether a member has answered a repair, or has not been tried often in vain: front ends from before records
+    /// never answer.
+    pub fn repairs(&self, addr: SocketAddr) -> bool {
+        const TRIES: u8 = 3;
+        self.members.get(&addr).is_some_and(|member| member.record.is_some() || member.unanswered < TRIES)
+    }
+
+    /// A repair was begun with this member.
+    pub fn tried(&mut self, addr: SocketAddr) {
+        if let Some(member) = self.members.get_mut(&addr) {
+            member.unanswered = member.unanswered.saturating_add(1);
+        }
+    }
+
+    /// Forgets members gone for longer than [`GONE_FOR`], and the oldest beyond [`GONE_HELD`]; who they were.
+    pub fn forget_gone(&mut self, now: Micros) -> Vec<PeerId> {
+        let mut gone: Vec<(Micros, PeerId)> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.liveness.is_gone())
+            .map(|(&addr, member)| (member.since, PeerId { addr, incarnation: member.incarnation }))
+            .collect();
+        gone.sort_unstable_by(|a, b| b.cmp(a));
+        let kept = gone
+            .iter()
+            .take(GONE_HELD)
+            .take_while(|(since, _)| now.saturating_sub(*since) < GONE_FOR)
+            .count();
+        let forgotten: Vec<PeerId> = gone.into_iter().skip(kept).map(|(_, id)| id).collect();
+        forgotten.iter().for_each(|id| {
+            self.members.remove(&id.addr);
+        });
+        forgotten
+    }
+}
+
+/// The set that holds only the bucket of a member.
+pub fn bucket_bit(addr: SocketAddr) -> u64 {
+    1 << bucket_of(addr)
+}
+
+fn bucket_of(addr: SocketAddr) -> usize {
+    (mix(address_hash(addr)) % BUCKETS as u64) as usize
+}
+
+fn claim_hash(claim: &Claim) -> u64 {
+    let content = u64::from(claim.stamp.version) << 32 | u64::from(claim.checksum);
+    mix(mix(mix(address_hash(claim.owner)) ^ claim.stamp.incarnation) ^ content)
+}
--- a/wrenseam/src/fleet/identity.rs
+++ b/wrenseam/src/fleet/identity.rs
@@ -32,9 +32,9 @@
 impl foca::Identity for PeerId {
     type Addr = SocketAddr;
 
+    /// None: foca's own renewal would declare the former identity down; `Swim` does it instead.
     fn renew(&self) -> Option<Self> {
-        let incarnation = self.incarnation.checked_add(1).filter(|&i| i <= MAX_INCARNATION)?;
-        Some(PeerId { incarnation, ..*self })
+        None
     }
 
     fn addr(&self) -> SocketAddr {
@@ -79,3 +79,20 @@
     *rest = tail;
     Some(*head)
 }
+
+/// FNV-1a over the address and port.
+pub fn address_hash(addr: SocketAddr) -> u64 {
+    let fold = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(0x0000_0100_0000_01b3);
+    let h = match addr {
+        SocketAddr::V4(a) => a.ip().octets().iter().fold(0xcbf2_9ce4_8422_2325, fold),
+        SocketAddr::V6(a) => a.ip().octets().iter().fold(0xcbf2_9ce4_8422_2325, fold),
+    };
+    addr.port().to_be_bytes().iter().fold(h, fold)
+}
+
+/// Spreads a hash over all its bits (the finalizer of SplitMix64).
+pub fn mix(mut h: u64) -> u64 {
+    h = (h ^ (h >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    h = (h ^ (h >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    h ^ (h >> 31)
+}
--- /dev/null
+++ b/wrenseam/src/fleet/inquiry.rs
@@ -0,0 +1,78 @@
+//! Members that are to be asked whether they are there: those whom somebody else holds as gone. No I/O; time is
+//! handed in.
+use super::identity::PeerId;
+use bramblepath::Micros;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Members asked about at once; of others that are disputed the next repair tells again.
+const HELD: usize = 256;
+
+#[derive(Clone, Copy, Debug)]
+struct Dispute {
+    id: PeerId,
+    began: Micros,
+    ask_at: Micros,
+    asked: u32,
+}
+
+/// What is to be done about a disputed member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// It is to be asked once more.
+    Ask(PeerId),
+    /// Its time to answer is up.
+    TimeUp {
+        /// The incarnation that is disputed.
+        id: PeerId,
+        /// When it was first asked.
+        began: Micros,
+    },
+}
+
+/// The disputes under way.
+#[derive(Debug)]
+pub struct Disputes {
+    held: BTreeMap<SocketAddr, Dispute>,
+    every: Micros,
+    answer_within: Micros,
+}
+
+impl Disputes {
+    /// Each is asked about `every` so often at first, then half as often each time, and has so long to answer.
+    pub fn new(every: Micros, answer_within: Micros) -> Disputes {
+        Disputes { held: BTreeMap::new(), every, answer_within }
+    }
+
+    /// Somebody holds `id` as gone, which is alive here.
+    pub fn open(&mut self, now: Micros, id: PeerId) {
+        if self.held.get(&id.addr).is_some_and(|held| held.id.incarnation >= id.incarnation) {
+            return;
+        }
+        if self.held.len() < HELD || self.held.contains_key(&id.addr) {
+            self.held.insert(id.addr, Dispute { id, began: now, ask_at: now, asked: 0 });
+        }
+    }
+
+    /// Ends the dispute about a member that is alive in a larger incarnation, or is gone here too.
+    pub fn settle(&mut self, id: PeerId, gone: bool) {
+        if self.held.get(&id.addr).is_some_and(|held| gone || held.id.incarnation < id.incarnation) {
+            self.held.remove(&id.addr);
+        }
+    }
+
+    /// What is due at `now`.
+    pub fn due(&mut self, now: Micros) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for dispute in self.held.values_mut().filter(|dispute| now >= dispute.ask_at) {
+            if now.saturating_sub(dispute.began) >= self.answer_within {
+                steps.push(Step::TimeUp { id: dispute.id, began: dispute.began });
+            } else {
+                steps.push(Step::Ask(dispute.id));
+            }
+            dispute.ask_at = now + (self.every << dispute.asked.min(2));
+            dispute.asked += 1;
+        }
+        steps
+    }
+}
--- /dev/null
+++ b/wrenseam/src/fleet/members.rs
@@ -0,0 +1,550 @@
+//! Who is in the fleet and what each says of itself: membership ([`Swim`]), the records ([`Directory`]), and the
+//! datagrams that keep both the same everywhere. No I/O; docs/fleet-view.md has the design.
+use super::directory::{Claim, Directory, Liveness, Verdict};
+use super::identity::{header, PeerId, HEADER_BYTES};
+use super::inquiry::{Disputes, Step};
+use super::message::{records_in_messages, Envelope, Message, RECORDS_VERSION};
+use super::record::{Facts, Lifecycle, Record, RecordError, Stamp};
+use super::repair::{self, Pace};
+use super::rumor::{Rumors, FANOUT};
+use super::swim::{Outgoing, PeerEvent, Swim, SwimSettings};
+use super::traffic::TrafficKind;
+use bramblepath::Micros;
+use rand::{rngs::SmallRng, seq::IteratorRandom, RngExt, SeedableRng};
+use std::net::SocketAddr;
+
+/// Members that are told at once that this front end leaves.
+const TOLD_OF_LEAVE: usize = 16;
+/// Relays asked besides a suspect itself.
+const RELAYS: usize = 2;
+/// A process that did not run for so long knows nothing any more that it could tell: it begins anew.
+const STALE_AFTER: Micros = 60_000_000;
+
+/// What became of the datagrams of records, counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RecordCounts {
+    /// Dropped: cut short, a checksum or a bound not kept, or of an unknown form.
+    pub garbled: u64,
+    /// Dropped: from a sender that is no member, or whose incarnation is past.
+    pub stranger: u64,
+    /// Records and claims of what this front end never said of itself.
+    pub impostor: u64,
+    /// Repairs in which the views differed.
+    pub repairs: u64,
+    /// Records taken because they were newer.
+    pub taken: u64,
+    /// Own records that were beyond their bounds and not published.
+    pub refused: u64,
+}
+
+/// One front end's membership and records.
+pub struct Members {
+    swim: Swim,
+    directory: Directory,
+    rumors: Rumors,
+    disputes: Disputes,
+    pace: Pace,
+    rng: SmallRng,
+    header: [u8; HEADER_BYTES],
+    probe: Micros,
+    /// After how long without any datagram this front end takes itself for cut off.
+    isolated_after: Micros,
+    /// Since when there was anybody to hear.
+    accompanied: Micros,
+    rumor_at: Micros,
+    inquire_at: Micros,
+    leaving: bool,
+    out: Vec<Outgoing>,
+    events: Vec<(Micros, PeerEvent)>,
+    changed: bool,
+    digest: u64,
+    digest_since: Micros,
+    /// What became of the datagrams of records.
+    pub counts: RecordCounts,
+}
+
+impl Members {
+    /// The front end at `own` in its `incarnation`, which says this of itself.
+    pub fn new(own: PeerId, facts: Facts, settings: SwimSettings, seed: u64) -> Members {
+        let swim = Swim::new(own.addr, own.incarnation, settings, seed);
+        let stamp = Stamp { incarnation: swim.own().incarnation, version: 1 };
+        let directory = Directory::new(Record { owner: own.addr, stamp, facts });
+        let mut rng = SmallRng::seed_from_u64(seed ^ 0x7265_636f);
+        let probe = settings.probe.max(10_000);
+        let digest = directory.digest();
+        Members {
+            swim,
+            directory,
+            rumors: Rumors::default(),
+            disputes: Disputes::new(probe / 2, 2 * settings.suspect_for + probe),
+            pace: Pace::new(probe, &mut rng),
+            rumor_at: rng.random_range(0..probe / 4),
+            inquire_at: rng.random_range(0..probe / 2),
+            rng,
+            header: header(RECORDS_VERSION, settings.cluster),
+            probe,
+            isolated_after: 2 * (settings.suspect_for + 2 * probe),
+            accompanied: 0,
+            leaving: false,
+            out: Vec::new(),
+            events: Vec::new(),
+            changed: true,
+            digest,
+            digest_since: 0,
+            counts: RecordCounts::default(),
+        }
+    }
+
+    /// Membership.
+    pub fn swim(&mut self) -> &mut Swim {
+        &mut self.swim
+    }
+
+    /// Members and their records.
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// Peers counted alive.
+    pub fn alive(&self) -> usize {
+        self.swim.alive()
+    }
+
+    /// The members, this front end among them, that take clients, if it does so itself; else none.
+    pub fn ready(&self) -> Vec<SocketAddr> {
+        if self.directory.own().facts.lifecycle != Lifecycle::Ready {
+            return Vec::new();
+        }
+        let lifecycle = |addr| self.directory.record(addr).map_or(Lifecycle::Ready, |r| r.facts.lifecycle);
+        let members = self.directory.alive().map(|id| id.addr);
+        members.filter(|&addr| lifecycle(addr) == Lifecycle::Ready).collect()
+    }
+
+    /// Whether members, or what they say, may have changed since the last call.
+    pub fn changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed) | self.swim.changed()
+    }
+
+    /// The digest of the whole view, and since when it has stood.
+    pub fn digest(&self) -> (u64, Micros) {
+        (self.digest, self.digest_since)
+    }
+
+    /// Datagrams to send.
+    pub fn outbox(&mut self) -> Vec<Outgoing> {
+        let mut out = self.swim.outbox();
+        out.append(&mut self.out);
+        out
+    }
+
+    /// Changes of membership since the last call, with when they were noticed.
+    pub fn events(&mut self) -> Vec<(Micros, PeerEvent)> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Changes what this front end says of itself.
+    ///
+    /// # Errors
+    /// [`RecordError`] where the record would be beyond its bounds; the former one holds on.
+    pub fn set_facts(&mut self, now: Micros, facts: Facts) -> Result<(), RecordError> {
+        if facts == self.directory.own().facts {
+            return Ok(());
+        }
+        let next = Record { facts, ..self.directory.own().clone() };
+        if let Err(error) = next.encode() {
+            self.counts.refused += 1;
+            return Err(error);
+        }
+        self.publish_own(now, next.facts, self.directory.own().stamp);
+        Ok(())
+    }
+
+    /// Publishes these facts under a stamp larger than `past`.
+    fn publish_own(&mut self, now: Micros, facts: Facts, past: Stamp) {
+        let Some(stamp) = past.max(self.directory.own().stamp).next() else { return };
+        let owner = self.directory.own().owner;
+        self.directory.set_own(Record { owner, stamp, facts });
+        if stamp.incarnation > self.swim.own().incarnation {
+            self.swim.renew(now, stamp.incarnation);
+        }
+        self.rumors.add_own(owner);
+        self.rumor_at = self.rumor_at.min(now);
+        self.pace.differs(now);
+        self.settle(now);
+    }
+
+    /// Tells the fleet that this front end leaves; it takes part in nothing from here on.
+    pub fn leave(&mut self, now: Micros) {
+        if self.leaving {
+            return;
+        }
+        let facts = Facts { lifecycle: Lifecycle::Leaving, ..self.directory.own().facts.clone() };
+        let _ = self.set_facts(now, facts); // no larger than the one before
+        let own = self.directory.own().clone();
+        let peers: Vec<SocketAddr> = self.directory.alive().map(|id| id.addr).collect();
+        for to in pick(&mut self.rng, peers, TOLD_OF_LEAVE) {
+            let news = Message::Records { news: true, records: vec![own.clone()] };
+            self.send(to, TrafficKind::Probe, news);
+        }
+        self.leaving = true;
+        self.swim.leave(now);
+        self.settle(now);
+    }
+
+    /// When [`Members::tick`] is wanted next.
+    pub fn next(&self) -> Micros {
+        if self.leaving {
+            return Micros::MAX;
+        }
+        let rumor = if self.rumors.is_empty() { Micros::MAX } else { self.rumor_at };
+        let own = self.pace.next().min(rumor).min(self.inquire_at);
+        self.swim.next().unwrap_or(Micros::MAX).min(own)
+    }
+
+    /// The process did not run for so long, up to now.
+    pub fn stalled(&mut self, now: Micros, span: Micros) {
+        self.swim.stalled(span);
+        self.accompanied = now;
+        self.settle(now);
+        if span > STALE_AFTER {
+            self.restart(now);
+        }
+    }
+
+    /// Begins anew as a front end that knows nobody, but where there were others: what it knew of them is too old to
+    /// be told.
+    fn restart(&mut self, now: Micros) {
+        self.swim.restart(now);
+        self.directory.forget_all();
+        self.settle(now);
+    }
+
+    /// Runs what is due at `now`.
+    pub fn tick(&mut self, now: Micros) {
+        if self.leaving {
+            return;
+        }
+        self.swim.tick(now);
+        self.settle(now);
+        if self.pace.is_due(now, &mut self.rng) {
+            self.begin_repair(now);
+        }
+        if now >= self.rumor_at {
+            self.rumor_at = now + self.probe / 4;
+            self.pass_rumors_on();
+        }
+        if now >= self.inquire_at {
+            self.inquire_at = now + self.probe / 2;
+            self.inquire(now);
+            self.look_after_ourselves(now);
+        }
+    }
+
+    /// Who hears nobody for long knows nothing of the others any more, and forgets what it knew before it tells it.
+    fn look_after_ourselves(&mut self, now: Micros) {
+        if self.swim.alive() == 0 {
+            self.accompanied = now;
+        }
+        let heard = self.swim.detector().heard_any().unwrap_or(0).max(self.accompanied);
+        if self.swim.alive() > 0 && now.saturating_sub(heard) > self.isolated_after {
+            self.restart(now);
+        }
+        for id in self.directory.forget_gone(now) {
+            self.swim.forget(id);
+        }
+    }
+
+    /// Brings the directory in line with what membership noticed, and our own record with our incarnation.
+    fn settle(&mut self, now: Micros) {
+        for (at, event) in self.swim.events() {
+            let told = match event {
+                PeerEvent::Up(id) => {
+                    self.directory.up(at, id);
+                    self.disputes.settle(id, false);
+                    self.pace.differs(now);
+                    event
+                }
+                PeerEvent::Down(id) => {
+                    self.disputes.settle(id, true);
+                    match self.directory.gone(at, id) {
+                        Liveness::Left => PeerEvent::Left(id),
+                        _ => event,
+                    }
+                }
+                PeerEvent::Renamed(id) => {
+                    self.directory.renamed(id);
+                    self.disputes.settle(id, false);
+                    event
+                }
+                PeerEvent::Left(_) | PeerEvent::Alone | PeerEvent::Rejoined => event,
+            };
+            self.changed = true;
+            self.events.push((at, told));
+        }
+        let incarnation = self.swim.own().incarnation;
+        if incarnation > self.directory.own().stamp.incarnation {
+            let facts = self.directory.own().facts.clone();
+            self.publish_own(now, facts, Stamp { incarnation, version: 0 });
+        }
+        let digest = self.directory.digest();
+        if digest != self.digest {
+            (self.digest, self.digest_since, self.changed) = (digest, now, true);
+        }
+    }
+
+    /// Takes a datagram of membership or of records that came at `now`.
+    pub fn datagram(&mut self, now: Micros, bytes: &[u8]) {
+        if self.leaving {
+            return;
+        }
+        if !self.swim.is_ours(bytes, RECORDS_VERSION) {
+            if let Some(from) = self.swim.datagram(now, bytes) {
+                self.correct(now, from);
+            }
+            self.settle(now);
+            return;
+        }
+        let Ok(Envelope { from, message }) = Envelope::decode(bytes) else {
+            self.counts.garbled += 1;
+            return;
+        };
+        if !self.greet(now, from) {
+            self.counts.stranger += 1;
+            return;
+        }
+        match message {
+            Message::Digest(theirs) => self.answer_digest(now, from, theirs),
+            Message::Buckets(theirs) => self.answer_buckets(now, from, &theirs),
+            Message::Claims { ask, buckets, claims } => {
+                self.take_claims(now, from, &claims, ask.then_some(buckets));
+            }
+            Message::Records { news, records } => {
+                records.into_iter().for_each(|record| self.take_record(now, record, news));
+            }
+            Message::Wanted(addresses) => self.send_records(from.addr, addresses.into_iter()),
+            Message::Inquiry { about, gone, origin } => self.answer_inquiry(now, from, about, gone, origin),
+            Message::Present { record, origin } => self.take_presence(now, from, *record, origin),
+        }
+        self.settle(now);
+    }
+
+    /// A datagram came from `from` itself: takes it up as a member if it is a new one. Whether its word counts; one
+    /// whose incarnation is past is told which it needs.
+    fn greet(&mut self, now: Micros, from: PeerId) -> bool {
+        if from.addr == self.directory.own().owner {
+            return false;
+        }
+        self.swim.detector().heard(now, from.addr);
+        if self.correct(now, from) {
+            return false;
+        }
+        if self.directory.claim(from.addr).is_none_or(|held| held.stamp.incarnation < from.incarnation) {
+            self.swim.learn(now, from, false, true);
+            self.settle(now);
+        }
+        true
+    }
+
+    /// Tells a sender whose incarnation is past, or held as gone, so; whether it had to be told.
+    fn correct(&mut self, _now: Micros, from: PeerId) -> bool {
+        let Some(held) = self.directory.claim(from.addr) else { return false };
+        let (known, gone) = (held.stamp.incarnation, held.liveness.is_gone());
+        if known < from.incarnation || known == from.incarnation && !gone {
+            return false;
+        }
+        let about = PeerId { addr: from.addr, incarnation: known };
+        let origin = self.directory.own().owner;
+        self.send(from.addr, TrafficKind::Membership, Message::Inquiry { about, gone, origin });
+        true
+    }
+
+    /// Begins a repair with a random member.
+    fn begin_repair(&mut self, _now: Micros) {
+        let members = self.directory.alive().map(|id| id.addr).filter(|&addr| self.directory.repairs(addr));
+        let Some(to) = members.choose(&mut self.rng) else { return };
+        self.directory.tried(to);
+        self.send(to, TrafficKind::Rumor, Message::Digest(self.directory.digest()));
+    }
+
+    fn answer_digest(&mut self, now: Micros, from: PeerId, theirs: u64) {
+        if theirs == self.directory.digest() {
+            return;
+        }
+        self.counts.repairs += 1;
+        self.pace.differs(now);
+        self.send(from.addr, TrafficKind::Repair, Message::Buckets(self.directory.bucket_digests()));
+    }
+
+    fn answer_buckets(&mut self, now: Micros, from: PeerId, theirs: &[u32; super::directory::BUCKETS]) {
+        let differing = repair::differing(&self.directory.bucket_digests(), theirs);
+        if differing == 0 {
+            return;
+        }
+        self.pace.differs(now);
+        let known = self.swim.alive() + 1;
+        let buckets = repair::choose(&self.directory, differing, known, &mut self.rng);
+        let claims = repair::claims_for(&self.directory, buckets);
+        self.send(from.addr, TrafficKind::Repair, Message::Claims { ask: true, buckets, claims });
+    }
+
+    fn take_claims(&mut self, now: Micros, from: PeerId, claims: &[Claim], asked: Option<u64>) {
+        let found = repair::compare(&self.directory, claims, asked);
+        if !found.claims.is_empty() {
+            let (buckets, claims) = (asked.unwrap_or(0), found.claims);
+            self.send(from.addr, TrafficKind::Repair, Message::Claims { ask: false, buckets, claims });
+        }
+        if !found.wanted.is_empty() {
+            self.send(from.addr, TrafficKind::Repair, Message::Wanted(found.wanted));
+        }
+        self.send_records(from.addr, found.records.into_iter());
+        found.learn.into_iter().for_each(|id| self.swim.learn(now, id, false, false));
+        found.left.into_iter().for_each(|id| self.swim.learn(now, id, true, false));
+        self.settle(now);
+        found.restamps.iter().for_each(|claim| self.directory.restamp(claim));
+        found.disputes.into_iter().for_each(|id| self.disputes.open(now, id));
+        if let Some(past) = found.outbid {
+            self.outbid(now, past);
+        }
+        self.ask_disputed(now);
+    }
+
+    /// Somebody holds of us what is not so: our next stamp is larger than that.
+    fn outbid(&mut self, now: Micros, past: Stamp) {
+        self.counts.impostor += 1;
+        let facts = self.directory.own().facts.clone();
+        self.publish_own(now, facts, past);
+    }
+
+    fn send_records(&mut self, to: SocketAddr, owners: impl Iterator<Item = SocketAddr>) {
+        let records: Vec<Record> = owners.filter_map(|owner| self.directory.record(owner)).collect();
+        for message in records_in_messages(false, records) {
+            self.send(to, TrafficKind::Repair, message);
+        }
+    }
+
+    fn take_record(&mut self, now: Micros, record: Record, news: bool) {
+        let (owner, id, lifecycle) = (record.owner, record.id(), record.facts.lifecycle);
+        let claim = Claim {
+            owner,
+            stamp: record.stamp,
+            liveness: Liveness::Alive,
+            checksum: record.facts.checksum(),
+        };
+        match self.directory.weigh(&claim) {
+            Verdict::Outbid => return self.outbid(now, record.stamp),
+            Verdict::Learn if lifecycle != Lifecycle::Leaving => {
+                self.swim.learn(now, id, false, false);
+                self.settle(now);
+            }
+            Verdict::Fetch | Verdict::Restamp => {}
+            _ => return,
+        }
+        if !self.directory.offer(record) {
+            return;
+        }
+        self.counts.taken += 1;
+        if news && self.rumors.add(owner) {
+            self.rumor_at = self.rumor_at.min(now + self.probe / 4);
+        }
+        if lifecycle == Lifecycle::Leaving {
+            self.swim.learn(now, id, true, false);
+        }
+    }
+
+    fn pass_rumors_on(&mut self) {
+        if self.rumors.is_empty() {
+            return;
+        }
+        let owners = self.rumors.round();
+        let records: Vec<Record> =
+            owners.into_iter().filter_map(|owner| self.directory.record(owner)).collect();
+        let members = self.directory.alive().map(|id| id.addr).filter(|&addr| self.directory.repairs(addr));
+        for to in pick(&mut self.rng, members.collect(), FANOUT) {
+            for message in records_in_messages(true, records.clone()) {
+                self.send(to, TrafficKind::Rumor, message);
+            }
+        }
+    }
+
+    /// Asks suspects, themselves and by way of others, whether they are there, and judges disputes.
+    fn inquire(&mut self, now: Micros) {
+        let suspects: Vec<PeerId> = self.swim.detector().suspects().collect();
+        for id in suspects {
+            let others = self.directory.alive().map(|other| other.addr).filter(|&addr| addr != id.addr);
+            let mut ways = pick(&mut self.rng, others.collect(), RELAYS);
+            ways.push(id.addr);
+            let origin = self.directory.own().owner;
+            for to in ways {
+                self.send(to, TrafficKind::Probe, Message::Inquiry { about: id, gone: false, origin });
+            }
+        }
+        self.ask_disputed(now);
+    }
+
+    fn ask_disputed(&mut self, now: Micros) {
+        for step in self.disputes.due(now) {
+            match step {
+                Step::Ask(about) => {
+                    let origin = self.directory.own().owner;
+                    let inquiry = Message::Inquiry { about, gone: true, origin };
+                    self.send(about.addr, TrafficKind::Membership, inquiry);
+                }
+                Step::TimeUp { id, began } => {
+                    let heard = self.swim.detector().last_heard(id.addr) >= Some(began);
+                    if !heard && self.swim.detector().is_proven_since(began) {
+                        self.swim.learn(now, id, true, true);
+                        self.settle(now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn answer_inquiry(&mut self, now: Micros, from: PeerId, about: PeerId, gone: bool, origin: SocketAddr) {
+        let own = self.directory.own().id();
+        if about.addr != own.addr {
+            // One relay only: what a relay passed on goes no further.
+            if from.addr == origin && about.addr != origin {
+                self.send(about.addr, TrafficKind::Probe, Message::Inquiry { about, gone, origin });
+            }
+            return;
+        }
+        if own.incarnation < about.incarnation || gone && own.incarnation == about.incarnation {
+            let past = Stamp { incarnation: about.incarnation, version: u32::MAX };
+            let facts = self.directory.own().facts.clone();
+            self.publish_own(now, facts, past);
+        }
+        let record = Box::new(self.directory.own().clone());
+        let present = Message::Present { record, origin };
+        if from.addr != origin {
+            self.send(from.addr, TrafficKind::Probe, present.clone());
+        }
+        self.send(origin, TrafficKind::Probe, present);
+    }
+
+    fn take_presence(&mut self, now: Micros, from: PeerId, record: Record, origin: SocketAddr) {
+        if origin == self.directory.own().owner {
+            self.swim.detector().heard(now, record.owner);
+            self.take_record(now, record, true);
+        } else if from.addr == record.owner {
+            self.send(origin, TrafficKind::Probe, Message::Present { record: Box::new(record), origin });
+        }
+    }
+
+    fn send(&mut self, to: SocketAddr, kind: TrafficKind, message: Message) {
+        let envelope = Envelope { from: self.swim.own(), message };
+        if let Some(bytes) = envelope.encode(&self.header).filter(|_| to != self.swim.own().addr) {
+            self.out.push(Outgoing { to, kind, bytes });
+        }
+    }
+}
+
+/// So many of these at random, or all.
+fn pick(rng: &mut SmallRng, mut from: Vec<SocketAddr>, most: usize) -> Vec<SocketAddr> {
+    for i in 0..most.min(from.len()) {
+        let other = rng.random_range(i..from.len());
+        from.swap(i, other);
+    }
+    from.truncate(most);
+    from
+}
--- /dev/null
+++ b/wrenseam/src/fleet/message.rs
@@ -0,0 +1,300 @@
+//! The datagrams by which members share and repair their records: typed, checked by a CRC, and bounded by the
+//! largest datagram. No I/O; docs/fleet-view.md has the exchange.
+use super::directory::{Claim, Liveness, BUCKETS};
+use super::identity::{put_address, take, take_address, PeerId, HEADER_BYTES, MAX_DATAGRAM, MAX_INCARNATION};
+use super::record::{Record, RecordError, Stamp};
+use std::net::SocketAddr;
+
+/// Version byte of these datagrams; front ends from before count them as foreign.
+pub const RECORDS_VERSION: u8 = 3;
+/// Room for a message's own part: the largest datagram less the header, the sender, the kind and the checksum.
+pub const MAX_BODY: usize = MAX_DATAGRAM - HEADER_BYTES - 19 - 8 - 1 - CRC_BYTES;
+
+const CRC_BYTES: usize = 4;
+const KIND_DIGEST: u8 = 0;
+const KIND_BUCKETS: u8 = 1;
+const KIND_CLAIMS: u8 = 2;
+const KIND_RECORDS: u8 = 3;
+const KIND_WANTED: u8 = 4;
+const KIND_INQUIRY: u8 = 5;
+const KIND_PRESENT: u8 = 6;
+
+/// One datagram.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Envelope {
+    /// Who speaks.
+    pub from: PeerId,
+    /// What it says.
+    pub message: Message,
+}
+
+/// What a member says to another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Message {
+    /// Begins a repair: the digest of the whole view. Who holds the same says nothing.
+    Digest(u64),
+    /// Answers a digest that differs: the view's digests by bucket.
+    Buckets([u32; BUCKETS]),
+    /// What is held of all members in the buckets of `buckets` (a bit each); `ask`: the other's claims are wanted.
+    Claims {
+        /// Whether an answer is wanted.
+        ask: bool,
+        /// The buckets that these claims are of.
+        buckets: u64,
+        /// What is held.
+        claims: Vec<Claim>,
+    },
+    /// Records whole, of any member.
+    Records {
+        /// Whether they have just changed and are to be passed on.
+        news: bool,
+        /// The records.
+        records: Vec<Record>,
+    },
+    /// Asks for the records of these members.
+    Wanted(Vec<SocketAddr>),
+    /// Asks whether a member is there, itself or a relay that passes this on to it.
+    Inquiry {
+        /// The member, and the incarnation known of it.
+        about: PeerId,
+        /// Whether that incarnation is known as gone: its owner needs a larger one.
+        gone: bool,
+        /// Where the answer is wanted.
+        origin: SocketAddr,
+    },
+    /// A member's own word that it is there; a relay passes it on to `origin`.
+    Present {
+        /// Its record.
+        record: Box<Record>,
+        /// Who asked.
+        origin: SocketAddr,
+    },
+}
+
+/// Why a datagram was dropped.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MessageError {
+    /// The checksum does not match.
+    Checksum,
+    /// Ends before it is whole, or does not end where it should.
+    Length,
+    /// A kind that this program does not know.
+    UnknownKind(u8),
+    /// A record in it cannot be read.
+    Record(RecordError),
+    /// An incarnation above [`MAX_INCARNATION`].
+    IncarnationOutOfRange(u64),
+    /// A claim of a liveness that this program does not know.
+    UnknownLiveness(u8),
+}
+
+impl From<RecordError> for MessageError {
+    fn from(error: RecordError) -> Self {
+        MessageError::Record(error)
+    }
+}
+
+impl Envelope {
+    /// The bytes, big-endian: `header` (7), sender (address, incarnation 8), kind (1), the message, and a CRC-32 of
+    /// all before it (4). `None` where a record in it is beyond its bounds or the datagram would be too large.
+    pub fn encode(&self, header: &[u8; HEADER_BYTES]) -> Option<Vec<u8>> {
+        let mut bytes = header.to_vec();
+        put_id(&mut bytes, self.from);
+        self.message.put(&mut bytes).ok()?;
+        bytes.extend(crc32fast::hash(&bytes).to_be_bytes());
+        (bytes.len() <= MAX_DATAGRAM).then_some(bytes)
+    }
+
+    /// Reads what [`Envelope::encode`] wrote; the header is the caller's to check.
+    ///
+    /// # Errors
+    /// [`MessageError`] for anything else.
+    pub fn decode(bytes: &[u8]) -> Result<Envelope, MessageError> {
+        let (body, crc) = bytes.split_last_chunk::<CRC_BYTES>().ok_or(MessageError::Length)?;
+        if crc32fast::hash(body).to_be_bytes() != *crc {
+            return Err(MessageError::Checksum);
+        }
+        let mut rest = body.get(HEADER_BYTES..).ok_or(MessageError::Length)?;
+        let from = take_id(&mut rest)?;
+        let message = Message::take(&mut rest)?;
+        if !rest.is_empty() {
+            return Err(MessageError::Length);
+        }
+        Ok(Envelope { from, message })
+    }
+}
+
+impl Message {
+    fn put(&self, bytes: &mut Vec<u8>) -> Result<(), RecordError> {
+        match self {
+            Message::Digest(digest) => {
+                bytes.push(KIND_DIGEST);
+                bytes.extend(digest.to_be_bytes());
+            }
+            Message::Buckets(digests) => {
+                bytes.push(KIND_BUCKETS);
+                digests.iter().for_each(|digest| bytes.extend(digest.to_be_bytes()));
+            }
+            Message::Claims { ask, buckets, claims } => {
+                bytes.push(KIND_CLAIMS);
+                bytes.push(u8::from(*ask));
+                bytes.extend(buckets.to_be_bytes());
+                claims.iter().for_each(|claim| put_claim(bytes, claim));
+            }
+            Message::Records { news, records } => {
+                bytes.push(KIND_RECORDS);
+                bytes.push(u8::from(*news));
+                records.iter().try_for_each(|record| put_record(bytes, record))?;
+            }
+            Message::Wanted(addresses) => {
+                bytes.push(KIND_WANTED);
+                addresses.iter().for_each(|&address| put_address(bytes, address));
+            }
+            Message::Inquiry { about, gone, origin } => {
+                bytes.push(KIND_INQUIRY);
+                put_id(bytes, *about);
+                bytes.push(u8::from(*gone));
+                put_address(bytes, *origin);
+            }
+            Message::Present { record, origin } => {
+                bytes.push(KIND_PRESENT);
+                put_address(bytes, *origin);
+                put_record(bytes, record)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn take(rest: &mut &[u8]) -> Result<Message, MessageError> {
+        let [kind] = need(rest)?;
+        match kind {
+            KIND_DIGEST => Ok(Message::Digest(u64::from_be_bytes(need(rest)?))),
+            KIND_BUCKETS => {
+                let mut digests = [0; BUCKETS];
+                for digest in &mut digests {
+                    *digest = u32::from_be_bytes(need(rest)?);
+                }
+                Ok(Message::Buckets(digests))
+            }
+            KIND_CLAIMS => {
+                let ask = take_flag(rest)?;
+                let buckets = u64::from_be_bytes(need(rest)?);
+                let claims = until_empty(rest, take_claim)?;
+                Ok(Message::Claims { ask, buckets, claims })
+            }
+            KIND_RECORDS => {
+                let news = take_flag(rest)?;
+                let records = until_empty(rest, take_record)?;
+                Ok(Message::Records { news, records })
+            }
+            KIND_WANTED => {
+                let address = |rest: &mut &[u8]| take_address(rest).ok_or(MessageError::Length);
+                Ok(Message::Wanted(until_empty(rest, address)?))
+            }
+            KIND_INQUIRY => {
+                let about = take_id(rest)?;
+                let gone = take_flag(rest)?;
+                let origin = take_address(rest).ok_or(MessageError::Length)?;
+                Ok(Message::Inquiry { about, gone, origin })
+            }
+            KIND_PRESENT => {
+                let origin = take_address(rest).ok_or(MessageError::Length)?;
+                let record = Box::new(take_record(rest)?);
+                Ok(Message::Present { record, origin })
+            }
+            other => Err(MessageError::UnknownKind(other)),
+        }
+    }
+}
+
+/// Puts records into as few messages as hold them, in order; one that cannot be written is left out.
+pub fn records_in_messages(news: bool, records: Vec<Record>) -> Vec<Message> {
+    let mut messages = Vec::new();
+    let (mut batch, mut size) = (Vec::new(), 0);
+    for record in records {
+        let Ok(bytes) = record.encode() else { continue };
+        let more = bytes.len() + 2;
+        if size + more > MAX_BODY - 1 && !batch.is_empty() {
+            messages.push(Message::Records { news, records: std::mem::take(&mut batch) });
+            size = 0;
+        }
+        size += more;
+        batch.push(record);
+    }
+    if !batch.is_empty() {
+        messages.push(Message::Records { news, records: batch });
+    }
+    messages
+}
+
+/// Reads items until nothing is left; a datagram's length bounds how many.
+fn until_empty<T>(
+    rest: &mut &[u8], item: impl Fn(&mut &[u8]) -> Result<T, MessageError>,
+) -> Result<Vec<T>, MessageError> {
+    let mut items = Vec::new();
+    while !rest.is_empty() {
+        items.push(item(rest)?);
+    }
+    Ok(items)
+}
+
+fn need<const N: usize>(rest: &mut &[u8]) -> Result<[u8; N], MessageError> {
+    take(rest).ok_or(MessageError::Length)
+}
+
+fn take_flag(rest: &mut &[u8]) -> Result<bool, MessageError> {
+    let [flag] = need(rest)?;
+    Ok(flag != 0)
+}
+
+fn put_id(bytes: &mut Vec<u8>, id: PeerId) {
+    put_address(bytes, id.addr);
+    bytes.extend(id.incarnation.to_be_bytes());
+}
+
+fn take_id(rest: &mut &[u8]) -> Result<PeerId, MessageError> {
+    let addr = take_address(rest).ok_or(MessageError::Length)?;
+    let incarnation = take_incarnation(rest)?;
+    Ok(PeerId { addr, incarnation })
+}
+
+fn take_incarnation(rest: &mut &[u8]) -> Result<u64, MessageError> {
+    let incarnation = u64::from_be_bytes(need(rest)?);
+    if incarnation > MAX_INCARNATION {
+        return Err(MessageError::IncarnationOutOfRange(incarnation));
+    }
+    Ok(incarnation)
+}
+
+fn put_claim(bytes: &mut Vec<u8>, claim: &Claim) {
+    put_address(bytes, claim.owner);
+    bytes.extend(claim.stamp.incarnation.to_be_bytes());
+    bytes.extend(claim.stamp.version.to_be_bytes());
+    bytes.push(claim.liveness as u8);
+    bytes.extend(claim.checksum.to_be_bytes());
+}
+
+fn take_claim(rest: &mut &[u8]) -> Result<Claim, MessageError> {
+    let owner = take_address(rest).ok_or(MessageError::Length)?;
+    let incarnation = take_incarnation(rest)?;
+    let version = u32::from_be_bytes(need(rest)?);
+    let [liveness] = need(rest)?;
+    let liveness =
+        *Liveness::ALL.get(usize::from(liveness)).ok_or(MessageError::UnknownLiveness(liveness))?;
+    let checksum = u32::from_be_bytes(need(rest)?);
+    Ok(Claim { owner, stamp: Stamp { incarnation, version }, liveness, checksum })
+}
+
+fn put_record(bytes: &mut Vec<u8>, record: &Record) -> Result<(), RecordError> {
+    let encoded = record.encode()?;
+    bytes.extend((encoded.len() as u16).to_be_bytes());
+    bytes.extend(encoded);
+    Ok(())
+}
+
+fn take_record(rest: &mut &[u8]) -> Result<Record, MessageError> {
+    let length = usize::from(u16::from_be_bytes(need(rest)?));
+    let (encoded, tail) = rest.split_at_checked(length).ok_or(MessageError::Length)?;
+    *rest = tail;
+    Ok(Record::decode(encoded)?)
+}
--- a/wrenseam/src/fleet/node.rs
+++ b/wrenseam/src/fleet/node.rs
@@ -1,25 +1,22 @@
-//! One front end's gossip as a whole, without I/O: membership ([`Swim`]), the mean pressure ([`Average`]), the
-//! way back to peers that were cut off, and the summaries that front ends from before the averaging want to hear.
+//! One front end's gossip as a whole, without I/O: membership and records ([`Members`]), the mean pressure
+//! ([`Average`]), the budget of bytes ([`Traffic`]), the way back to peers that were cut off, and the summaries that
+//! front ends from before the averaging want to hear.
 use super::average::{Average, AverageDropped};
 use super::identity::{PeerId, AVERAGE_VERSION};
-use super::swim::{Dropped, PeerEvent, Swim, SwimSettings};
+use super::members::{Members, RecordCounts};
+use super::record::{Facts, Lifecycle, RecordError};
+use super::swim::{Dropped, Outgoing, PeerEvent, SwimSettings};
+use super::traffic::{Traffic, TrafficKind};
 use super::Summary;
 use bramblepath::Micros;
 use rand::{rngs::SmallRng, RngExt, SeedableRng};
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-/// Peers lost that are remembered, to be asked whether they are back: a region of any fleet we run.
-const LOST_HELD: usize = 1024;
-/// How long a lost peer is remembered, in microseconds: a day. SWIM itself forgets it after a minute.
-const LOST_FOR: Micros = 86_400_000_000;
 /// Least probe periods between two asks whether a lost peer is back.
 const ASK_LOST_PROBES: Micros = 5;
 /// Asks of the whole fleet to lost peers in a probe period, about: each front end's pause grows with the size.
 const ASK_LOST_FLEET: Micros = 10;
-
-/// Bytes a second above which a front end spares gossip: half of the 22 KB/s that it may send and receive.
-const SENT_A_SECOND: u64 = 5_500;
 /// While more than one in so many members came in the last probe period, the list is still filling: a front end
 /// that starts asks more peers for theirs, since one answer holds some 60 members.
 const FILLING: usize = 20;
@@ -30,11 +27,13 @@
 /// those times are spent on peers that are gone too: of 11 at 660 some 5 are left, and one in 200 misses the news.
 pub const EXTRA_TRANSMISSIONS: u8 = 5;
 
-/// The settings of a node: those of membership, and whether to bear with summaries.
+/// The settings of a node: those of membership, what it says of itself, and whether to bear with summaries.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
     /// Membership's settings.
     pub swim: SwimSettings,
+    /// What this front end says of itself at its start.
+    pub facts: Facts,
     /// Peers asked to let us join; asked again when not counted alive.
     pub seeds: Vec<SocketAddr>,
     /// Whether to publish summaries while a front end from before the averaging is heard.
@@ -46,166 +45,247 @@
 pub struct FleetNews {
     /// Peers counted alive, besides itself.
     pub alive: usize,
+    /// Of these, by lifecycle in the order of [`Lifecycle::ALL`].
+    pub by_lifecycle: [usize; Lifecycle::ALL.len()],
+    /// Peers that told that they drain or leave since the news before.
+    pub departed: usize,
+    /// The digest of the whole view, and for how long it has stood, in microseconds.
+    pub digest: u64,
+    /// See `digest`.
+    pub digest_stood: Micros,
     /// Mean in-flight over capacity of the fleet, in thousandths.
     pub pressure: u32,
     /// Neighbours of the averaging heard from lately, and all that are held.
     pub edges: (usize, usize),
     /// Whether a front end from before the averaging is in the fleet, and the mean is of summaries.
     pub mixed: bool,
+    /// How many times longer this front end's probes and suspicions are, since it doubts itself.
+    pub doubt_factor: u32,
+    /// Bytes sent, and held back by the budget, in the order of [`TrafficKind::ALL`].
+    pub bytes_sent: [u64; TrafficKind::ALL.len()],
+    /// See `bytes_sent`.
+    pub bytes_held_back: [u64; TrafficKind::ALL.len()],
+    /// What became of the datagrams of records.
+    pub records: RecordCounts,
     /// Datagrams dropped, by cause.
     pub dropped: Dropped,
     /// Datagrams of the averaging dropped, by cause.
     pub average_dropped: AverageDropped,
 }
 
+impl FleetNews {
+    /// Peers that take clients.
+    pub fn ready(&self) -> usize {
+        self.by_lifecycle[Lifecycle::Ready as usize]
+    }
+}
+
 /// One front end's gossip.
 pub struct Node {
-    swim: Swim,
+    members: Members,
     average: Average,
+    traffic: Traffic,
     settings: NodeSettings,
     rng: SmallRng,
-    /// Peers declared down and not seen since, and when they were lost.
-    lost: BTreeMap<SocketAddr, Micros>,
     ask_lost_at: Micros,
-    /// Members that came, and bytes sent, since the last [`Node::publish`], and when that was.
+    /// When [`Node::tick`] was last wanted or run, whichever is later: it shows whether the process ran.
+    expected_at: Option<Micros>,
+    /// Members that came since the last [`Node::publish`].
     came: usize,
-    sent: u64,
-    published_at: Micros,
+    /// Peers that drained or were leaving at the last [`Node::publish`], and those that left since.
+    draining: usize,
+    left: usize,
     pressure: u32,
+    now: Micros,
 }
 
 impl Node {
     /// The front end at `own` in its `incarnation`, with a seeded generator.
     pub fn new(own: SocketAddr, incarnation: u64, settings: NodeSettings, seed: u64) -> Node {
         let (cluster, probe) = (settings.swim.cluster, settings.swim.probe);
+        let id = PeerId { addr: own, incarnation };
         Node {
-            swim: Swim::new(own, incarnation, settings.swim, seed),
-            average: Average::new(PeerId { addr: own, incarnation }, cluster, probe, seed),
+            members: Members::new(id, settings.facts.clone(), settings.swim, seed),
+            average: Average::new(id, cluster, probe, seed),
+            traffic: Traffic::default(),
             settings,
             rng: SmallRng::seed_from_u64(seed ^ 0x6c6f_7374),
-            lost: BTreeMap::new(),
             ask_lost_at: 0,
+            expected_at: None,
             came: 0,
-            sent: 0,
-            published_at: 0,
+            draining: 0,
+            left: 0,
             pressure: 0,
+            now: 0,
         }
     }
 
     /// Takes a datagram that came at `now`.
     pub fn datagram(&mut self, now: Micros, bytes: &[u8]) {
-        if self.swim.is_ours(bytes, AVERAGE_VERSION) {
-            self.average.datagram(now, bytes);
+        self.now = now;
+        if self.members.swim().is_ours(bytes, AVERAGE_VERSION) {
+            if let Some(from) = self.average.datagram(now, bytes) {
+                self.members.swim().detector().heard(now, from.addr);
+            }
         } else {
-            self.swim.datagram(now, bytes);
+            self.members.datagram(now, bytes);
             self.regroup(now);
         }
     }
 
     /// When [`Node::tick`] is wanted next.
     pub fn next(&self) -> Micros {
-        self.swim.next().unwrap_or(Micros::MAX).min(self.average.next())
+        self.members.next().min(self.average.next())
     }
 
     /// Runs what is due at `now`.
     pub fn tick(&mut self, now: Micros) {
-        self.swim.tick(now);
+        self.now = now;
+        self.look_for_stall(now);
+        self.members.tick(now);
         self.regroup(now);
         self.average.tick(now);
+        self.expected_at = Some(self.next().max(now));
     }
 
-    /// The view's neighbours follow a change of the members.
+    /// Whoever was stopped or starved for more than half a probe period must not take the others' silence in that time
+    /// for theirs.
+    fn look_for_stall(&mut self, now: Micros) {
+        let late = self.expected_at.map_or(0, |at| now.saturating_sub(at));
+        if late > self.settings.swim.probe / 2 {
+            self.members.stalled(now, late);
+        }
+    }
+
+    /// The averaging's neighbours follow a change of the members.
     fn regroup(&mut self, now: Micros) {
-        if self.swim.changed() {
-            self.average.members(now, self.swim.members());
+        if self.members.changed() {
+            let ready = self.members.ready();
+            self.average.members(now, ready.into_iter());
         }
     }
 
+    /// Changes what this front end says of itself, where `change` does.
+    ///
+    /// # Errors
+    /// [`RecordError`] where the record would be beyond its bounds; the former one holds on.
+    pub fn update(&mut self, now: Micros, change: impl FnOnce(&mut Facts)) -> Result<(), RecordError> {
+        self.now = now;
+        let mut facts = self.members.directory().own().facts.clone();
+        change(&mut facts);
+        let done = self.members.set_facts(now, facts);
+        self.regroup(now);
+        done
+    }
+
+    /// Tells the fleet that this front end leaves; it takes part in nothing from here on.
+    pub fn leave(&mut self, now: Micros) {
+        self.now = now;
+        self.members.leave(now);
+    }
+
     /// Each probe period: tells the fleet our load, asks for peers that are missing, and says how the fleet is.
     pub fn publish(&mut self, now: Micros, own: Summary) -> FleetNews {
+        self.now = now;
         self.average.set(own.pressure);
-        let mixed = self.settings.summaries && self.swim.mixed(now);
+        let swim = self.members.swim();
+        let mixed = self.settings.summaries && swim.mixed(now);
         if mixed {
-            self.swim.publish(now, Summary { views: true, ..own });
+            swim.publish(now, Summary { views: true, ..own });
         }
-        let passed = now.saturating_sub(self.published_at).max(1);
-        let over = std::mem::take(&mut self.sent) * 1_000_000 / passed > SENT_A_SECOND;
-        self.published_at = now;
-        self.swim.spare(over);
-        if std::mem::take(&mut self.came) * FILLING > self.swim.alive() {
-            (0..ASK_FILLING).for_each(|_| self.swim.ask_for_members(now, self.rng.random()));
+        swim.spare(self.traffic.is_tight(now));
+        if std::mem::take(&mut self.came) * FILLING > swim.alive() {
+            (0..ASK_FILLING).for_each(|_| swim.ask_for_members(now, self.rng.random()));
         }
         self.ask_missing(now);
         self.regroup(now);
-        self.pressure = if mixed { self.swim.pressure(now, own.pressure) } else { self.average.pressure() };
+        let swim = self.members.swim();
+        self.pressure = if mixed { swim.pressure(now, own.pressure) } else { self.average.pressure() };
+        let (alive, dropped) = (swim.alive(), swim.dropped);
+        let doubt_factor = swim.detector().factor();
+        let by_lifecycle = self.members.directory().by_lifecycle();
+        let (digest, since) = self.members.digest();
         FleetNews {
-            alive: self.swim.alive(),
+            alive,
+            by_lifecycle,
+            departed: self.departed(&by_lifecycle),
+            digest,
+            digest_stood: now.saturating_sub(since),
             pressure: self.pressure,
             edges: self.average.edges(),
             mixed,
-            dropped: self.swim.dropped,
+            doubt_factor,
+            bytes_sent: self.traffic.sent,
+            bytes_held_back: self.traffic.held_back,
+            records: self.members.counts,
+            dropped,
             average_dropped: self.average.dropped,
         }
     }
 
+    /// Peers that stopped counting by their own word since the last call.
+    fn departed(&mut self, by_lifecycle: &[usize; Lifecycle::ALL.len()]) -> usize {
+        let draining = by_lifecycle[Lifecycle::Draining as usize] + by_lifecycle[Lifecycle::Leaving as usize];
+        let left = std::mem::take(&mut self.left);
+        let before = std::mem::replace(&mut self.draining, draining);
+        (draining + left).saturating_sub(before)
+    }
+
     /// Asks the seeds while alone; else now and then one seed or lost peer that is not counted alive, so that
     /// parts of a fleet find each other again however long they were cut.
     fn ask_missing(&mut self, now: Micros) {
-        if self.swim.alive() == 0 {
+        let alone = self.members.alive() == 0;
+        if alone {
             let seeds = self.settings.seeds.clone();
-            seeds.iter().for_each(|&s| self.swim.join(now, s));
+            seeds.iter().for_each(|&s| self.members.swim().join(now, s));
         }
         if now < self.ask_lost_at {
             return;
         }
-        let size = self.swim.alive() as Micros + 1;
+        let size = self.members.alive() as Micros + 1;
         let pause = self.settings.swim.probe * ASK_LOST_PROBES.max(size / ASK_LOST_FLEET);
         // From half to one and a half of the pause, so that front ends cut at once do not ask at once.
+        let pause = if alone { self.settings.swim.probe } else { pause };
         self.ask_lost_at = now + pause / 2 + self.rng.random_range(0..=pause);
-        self.lost.retain(|_, at| now.saturating_sub(*at) < LOST_FOR);
-        let alive: std::collections::BTreeSet<SocketAddr> = self.swim.members().collect();
-        let mut missing: Vec<SocketAddr> = self.lost.keys().copied().filter(|a| !alive.contains(a)).collect();
-        missing
-            .extend(self.settings.seeds.iter().filter(|a| !alive.contains(a) && !self.lost.contains_key(a)));
+        let directory = self.members.directory();
+        let alive: BTreeSet<SocketAddr> = directory.alive().map(|id| id.addr).collect();
+        let mut missing: BTreeSet<SocketAddr> = directory.lost().collect();
+        missing.extend(self.settings.seeds.iter().filter(|addr| !alive.contains(addr)));
         if !missing.is_empty() {
-            let one = missing[self.rng.random_range(0..missing.len())];
-            self.swim.join(now, one);
+            let which = self.rng.random_range(0..missing.len());
+            let one = missing.into_iter().nth(which);
+            one.into_iter().for_each(|addr| self.members.swim().join(now, addr));
         }
     }
 
-    /// Datagrams to send, with their addresses.
+    /// Datagrams to send, with their addresses: as far as the budget of bytes allows.
     pub fn outbox(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
-        let mut out = self.swim.outbox();
-        out.append(&mut self.average.outbox());
-        self.sent += out.iter().map(|(_, bytes)| bytes.len() as u64).sum::<u64>();
-        out
+        let average = self.average.outbox().into_iter();
+        let average = average.map(|(to, bytes)| Outgoing { to, kind: TrafficKind::Average, bytes });
+        let mut out = self.members.outbox();
+        out.extend(average);
+        out.sort_by_key(|outgoing| outgoing.kind as usize); // what is least dispensable takes its part first
+        let (now, traffic) = (self.now, &mut self.traffic);
+        out.retain(|outgoing| traffic.admit(now, outgoing.kind, outgoing.bytes.len()));
+        out.into_iter().map(|outgoing| (outgoing.to, outgoing.bytes)).collect()
     }
 
     /// Changes of membership since the last call, with when they were noticed.
     pub fn events(&mut self) -> Vec<(Micros, PeerEvent)> {
-        let events = self.swim.events();
-        for &(at, e) in &events {
-            match e {
-                PeerEvent::Up(p) => {
-                    self.came += 1;
-                    self.lost.remove(&p.addr);
-                }
-                PeerEvent::Down(p) => {
-                    if self.lost.len() >= LOST_HELD && !self.lost.contains_key(&p.addr) {
-                        let oldest = self.lost.iter().min_by_key(|(_, at)| **at).map(|(a, _)| *a);
-                        oldest.map(|a| self.lost.remove(&a));
-                    }
-                    self.lost.insert(p.addr, at);
-                }
-                PeerEvent::Alone | PeerEvent::Rejoined => {}
-            }
-        }
+        let events = self.members.events();
+        self.came += events.iter().filter(|(_, event)| matches!(event, PeerEvent::Up(_))).count();
+        self.left += events.iter().filter(|(_, event)| matches!(event, PeerEvent::Left(_))).count();
         events
     }
 
     /// Peers counted alive.
     pub fn alive(&self) -> usize {
-        self.swim.alive()
+        self.members.alive()
+    }
+
+    /// Membership and records.
+    pub fn members(&self) -> &Members {
+        &self.members
     }
 
     /// The fleet's mean pressure in thousandths as it stands between two calls of [`Node::publish`].
--- a/wrenseam/src/fleet/swim.rs
+++ b/wrenseam/src/fleet/swim.rs
@@ -1,10 +1,18 @@
 //! Membership between front ends by SWIM, on the `foca` crate, without I/O: datagrams come in as bytes
 //! with the time, and what is to be sent, and when to be woken, is collected for the caller. Load summaries
-//! ride on foca's messages as custom broadcasts, where front ends that take no part in the averaging ([`super::average`]) want them.
-use super::identity::{header, PeerId, HEADER_BYTES, MAX_DATAGRAM, SWIM_VERSION};
+//! ride on foca's messages as custom broadcasts, where front ends that take no part in the averaging
+//! ([`super::average`]) want them.
+//!
+//! Foca's timers pass through here: those of probes and suspicions are lengthened, and suspicions judged, by the
+//! [`Detector`]. Foca's time stands still while the process did not run.
+use super::detector::{Detector, Sentence};
+use super::directory::GONE_FOR;
+use super::identity::{header, PeerId, HEADER_BYTES, MAX_DATAGRAM, MAX_INCARNATION, SWIM_VERSION};
 use super::summary::{Offered, Summaries, Summary, SummaryError};
+use super::traffic::TrafficKind;
 use bramblepath::Micros;
-use foca::{BroadcastHandler, Config, Foca, Invalidates, Notification, PostcardCodec, Runtime, Timer};
+use foca::{BroadcastHandler, Codec, Config, Foca, Header, Invalidates, Member, Message, Notification};
+use foca::{PostcardCodec, Runtime, State, Timer};
 use rand::{rngs::SmallRng, SeedableRng};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -13,11 +21,6 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-/// A peer that is down is remembered as such for twice the time in which all are probed, and from one minute to an
-/// hour: a process whose clock was set back comes in again only after it.
-const DOWN_FOR: Duration = Duration::from_secs(60);
-const DOWN_FOR_MOST: Duration = Duration::from_secs(3600);
-
 /// The settings of membership, in microseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct SwimSettings {
@@ -55,12 +58,27 @@
     Up(PeerId),
     /// A peer was declared down.
     Down(PeerId),
+    /// A peer told that it leaves.
+    Left(PeerId),
+    /// A peer goes on under a larger incarnation.
+    Renamed(PeerId),
     /// This front end lost all its peers.
     Alone,
     /// This front end was declared down by the others and came back under a new incarnation.
     Rejoined,
 }
 
+/// A datagram to send: where to, what it is for, and its bytes.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Where to.
+    pub to: SocketAddr,
+    /// What for.
+    pub kind: TrafficKind,
+    /// The bytes.
+    pub bytes: Vec<u8>,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct SummaryKey {
     origin: SocketAddr,
@@ -101,13 +119,18 @@
 /// What foca asks of the world, collected.
 #[derive(Default)]
 struct Outside {
+    /// The time, and how much of it the process did not run: foca's time is the difference.
     now: Micros,
+    stalled: Micros,
     seq: u64,
-    out: Vec<(SocketAddr, Vec<u8>)>,
+    out: Vec<Outgoing>,
     timers: BinaryHeap<Reverse<(Micros, u64, TimerSlot)>>,
     events: Vec<(Micros, PeerEvent)>,
     /// A peer came up or went down since this was last asked.
     changed: bool,
+    /// Foca holds that the others declared us down.
+    defunct: bool,
+    detector: Detector,
     header: [u8; HEADER_BYTES],
 }
 
@@ -127,96 +150,220 @@
     }
 }
 
+impl Outside {
+    fn set(&mut self, timer: Timer<PeerId>, due: Micros) {
+        self.seq += 1;
+        self.timers.push(Reverse((due, self.seq, TimerSlot(timer))));
+    }
+
+    /// Foca's time.
+    fn running(&self) -> Micros {
+        self.now.saturating_sub(self.stalled)
+    }
+}
+
 impl Runtime<PeerId> for Outside {
     fn notify(&mut self, n: Notification<'_, PeerId>) {
         let event = match n {
             Notification::MemberUp(id) => PeerEvent::Up(*id),
             Notification::MemberDown(id) => PeerEvent::Down(*id),
+            Notification::Rename(_, new) => PeerEvent::Renamed(*new),
             Notification::Idle => PeerEvent::Alone,
-            Notification::Rejoin(_) => PeerEvent::Rejoined,
+            Notification::Defunct => {
+                self.defunct = true;
+                return;
+            }
             _ => return,
         };
+        if let PeerEvent::Up(id) | PeerEvent::Down(id) | PeerEvent::Renamed(id) = event {
+            self.detector.forget(id.addr);
+        }
         self.changed |= matches!(event, PeerEvent::Up(_) | PeerEvent::Down(_));
         self.events.push((self.now, event));
     }
 
     fn send_to(&mut self, to: PeerId, data: &[u8]) {
+        let message = read_header(data).map(|header| header.message);
+        if let Some(Message::Ping(number)) = message {
+            self.detector.probe_began(self.now, to, number);
+        }
+        let kind = match message {
+            Some(Message::Gossip | Message::Feed | Message::Announce | Message::Broadcast) => {
+                TrafficKind::Membership
+            }
+            _ => TrafficKind::Probe,
+        };
         let mut bytes = Vec::with_capacity(HEADER_BYTES + data.len());
         bytes.extend_from_slice(&self.header);
         bytes.extend_from_slice(data);
-        self.out.push((to.addr, bytes));
+        self.out.push(Outgoing { to: to.addr, kind, bytes });
     }
 
     fn submit_after(&mut self, event: Timer<PeerId>, after: Duration) {
-        self.seq += 1;
-        let due = self.now.saturating_add(after.as_micros() as Micros);
-        self.timers.push(Reverse((due, self.seq, TimerSlot(event))));
+        let factor = match &event {
+            Timer::ProbeRandomMember(_) | Timer::SendIndirectProbe { .. } => self.detector.factor(),
+            Timer::ChangeSuspectToDown { member_id, .. } => {
+                self.detector.suspected(self.now, *member_id);
+                self.detector.factor()
+            }
+            _ => 1,
+        };
+        let after = after.saturating_mul(factor).as_micros() as Micros;
+        self.set(event, self.running().saturating_add(after));
     }
 }
 
+/// The header of a datagram of foca's, without ours before it.
+fn read_header(mut data: &[u8]) -> Option<Header<PeerId>> {
+    PostcardCodec.decode_header(&mut data).ok()
+}
+
 /// One front end's membership and the summaries it holds.
 pub struct Swim {
     foca: Foca<PeerId, PostcardCodec, SmallRng, Gossiped>,
     outside: Outside,
     held: Arc<Mutex<(Summaries, Micros)>>,
     own: PeerId,
+    settings: SwimSettings,
     config: Config,
+    seed: u64,
     /// Whether periodic gossip goes to one peer a round instead of all.
     sparing: bool,
+    /// Whether this front end has told that it leaves.
+    leaving: bool,
     /// Datagrams dropped, by cause.
     pub dropped: Dropped,
     /// Summaries published by this front end.
     published: u64,
 }
 
+/// Foca's settings for ours.
+fn configure(settings: &SwimSettings) -> Config {
+    let size = NonZeroU32::new(settings.expected.clamp(1, 100_000) as u32).unwrap_or(NonZeroU32::MIN);
+    let mut config = Config::new_lan(size);
+    let probe = Duration::from_micros(settings.probe.max(10_000));
+    config.probe_period = probe;
+    config.probe_rtt = probe / 2;
+    config.suspect_to_down_after = Duration::from_micros(settings.suspect_for.max(settings.probe));
+    config.max_packet_size = NonZeroUsize::new(MAX_DATAGRAM - HEADER_BYTES).unwrap_or(NonZeroUsize::MIN);
+    let times = config.max_transmissions.saturating_add(settings.extra_transmissions);
+    config.max_transmissions = times;
+    // The directory bounds how many are remembered, and for how long.
+    config.remove_down_after = Some(Duration::from_micros(GONE_FOR));
+    if let Some(gossip) = config.periodic_gossip.as_mut() {
+        gossip.frequency = probe / 4;
+    }
+    if let Some(announce) = config.periodic_announce.as_mut() {
+        announce.frequency = probe * 5;
+    }
+    if let Some(announce) = config.periodic_announce_to_down_members.as_mut() {
+        announce.frequency = probe * 5;
+    }
+    config
+}
+
 impl Swim {
     /// Membership for the front end at `own`, in its `incarnation`, with a seeded generator.
     pub fn new(own: SocketAddr, incarnation: u64, settings: SwimSettings, seed: u64) -> Swim {
-        let size = NonZeroU32::new(settings.expected.clamp(1, 100_000) as u32).unwrap_or(NonZeroU32::MIN);
-        let mut config = Config::new_lan(size);
-        let probe = Duration::from_micros(settings.probe.max(10_000));
-        config.probe_period = probe;
-        config.probe_rtt = probe / 2;
-        config.suspect_to_down_after = Duration::from_micros(settings.suspect_for.max(settings.probe));
-        config.max_packet_size = NonZeroUsize::new(MAX_DATAGRAM - HEADER_BYTES).unwrap_or(NonZeroUsize::MIN);
-        let times = config.max_transmissions.saturating_add(settings.extra_transmissions);
-        config.max_transmissions = times;
-        // Who missed the news of a peer that is down finds out by its own probes, one a period, and until then tells
-        // others that it is up: those remember better for as long, or the dead come back by hearsay.
-        let rounds = probe.saturating_mul(2 * size.get());
-        config.remove_down_after = Some(rounds.clamp(DOWN_FOR, DOWN_FOR_MOST));
-        if let Some(g) = config.periodic_gossip.as_mut() {
-            g.frequency = probe / 4;
-        }
-        if let Some(a) = config.periodic_announce.as_mut() {
-            a.frequency = probe * 5;
-        }
-        if let Some(a) = config.periodic_announce_to_down_members.as_mut() {
-            a.frequency = probe * 5;
-        }
+        let config = configure(&settings);
         let held = Arc::new(Mutex::new((Summaries::new(settings.capacity, settings.fresh_for), 0)));
-        let handler = Gossiped { own, held: held.clone() };
-        let id = PeerId { addr: own, incarnation };
-        let rng = SmallRng::seed_from_u64(seed);
-        let foca = Foca::with_custom_broadcast(id, config.clone(), rng, PostcardCodec, handler);
+        let own = PeerId { addr: own, incarnation: incarnation.min(MAX_INCARNATION) };
+        let foca = start(own, &config, seed, &held);
         let outside = Outside { header: header(SWIM_VERSION, settings.cluster), ..Outside::default() };
         Swim {
             foca,
             outside,
             held,
-            own: id,
+            own,
+            settings,
             config,
+            seed,
             sparing: false,
+            leaving: false,
             dropped: Dropped::default(),
             published: 0,
         }
     }
 
+    /// This front end as its peers know it.
+    pub fn own(&self) -> PeerId {
+        self.own
+    }
+
+    /// How this front end's failure detection sees itself.
+    pub fn detector(&mut self) -> &mut Detector {
+        &mut self.outside.detector
+    }
+
     fn at(&mut self, now: Micros) {
         self.outside.now = now;
         self.held.lock().unwrap_or_else(PoisonError::into_inner).1 = now;
     }
 
+    /// Goes on under a larger incarnation, with the members as they are known. Foca's own way to a new identity would
+    /// declare the former one down, and with it, for whoever hears that first, this front end.
+    pub fn renew(&mut self, now: Micros, incarnation: u64) {
+        let members: Vec<Member<PeerId>> = self.foca.iter_membership_state().cloned().collect();
+        self.begin(now, incarnation);
+        let events = std::mem::take(&mut self.outside.events);
+        // Refused only for a member that cannot be encoded, and these were decoded or made here.
+        let _ = self.foca.apply_many(members.into_iter(), false, &mut self.outside);
+        self.outside.events = events; // to others nothing has changed
+        let _ = self.foca.gossip(&mut self.outside);
+    }
+
+    /// Begins anew as a front end that knows nobody: what it held of the members is too old to be told.
+    pub fn restart(&mut self, now: Micros) {
+        let incarnation = self.own.incarnation.saturating_add(1);
+        self.begin(now, incarnation);
+        self.outside.detector.restart();
+        self.outside.changed = true;
+        self.outside.events.push((now, PeerEvent::Alone));
+    }
+
+    fn begin(&mut self, now: Micros, incarnation: u64) {
+        self.at(now);
+        self.own.incarnation = incarnation.min(MAX_INCARNATION);
+        self.seed = self.seed.wrapping_add(1);
+        self.foca = start(self.own, &self.config, self.seed, &self.held);
+        // They were of the foca before, whose timers this one could not tell from its own.
+        self.outside.timers.clear();
+        self.outside.defunct = false;
+        let sparing = std::mem::take(&mut self.sparing);
+        self.spare(sparing);
+    }
+
+    /// If the others declared us down: comes back under a new incarnation.
+    fn rejoin(&mut self) {
+        if self.outside.defunct && !self.leaving {
+            let now = self.outside.now;
+            self.renew(now, self.own.incarnation.saturating_add(1));
+            self.outside.events.push((now, PeerEvent::Rejoined));
+        }
+    }
+
+    /// Tells that this front end leaves; from here on it takes part in nothing.
+    pub fn leave(&mut self, now: Micros) {
+        self.at(now);
+        self.leaving = true;
+        let _ = self.foca.leave_cluster(&mut self.outside); // it can only fail to encode ourselves
+    }
+
+    /// Takes up that `id` is alive, or is gone, as somebody else knows; `spread`: passes it on as news.
+    pub fn learn(&mut self, now: Micros, id: PeerId, gone: bool, spread: bool) {
+        self.at(now);
+        if id.addr == self.own.addr || self.leaving {
+            return;
+        }
+        let member = if gone { Member::down(id) } else { Member::alive(id) };
+        let _ = self.foca.apply_many(std::iter::once(member), spread, &mut self.outside);
+    }
+
+    /// Forgets a member that is gone.
+    pub fn forget(&mut self, id: PeerId) {
+        let _ = self.foca.handle_timer(Timer::RemoveDown(id), &mut self.outside);
+    }
+
     /// Whether periodic gossip is to go to one peer a round from now on, instead of all that are configured: news
     /// of many members then take longer and fewer bytes a second. Probes, suspicion and answers are not changed.
     pub fn spare(&mut self, sparing: bool) {
@@ -245,28 +392,43 @@
     /// Asks to join by way of a peer at `seed`.
     pub fn join(&mut self, now: Micros, seed: SocketAddr) {
         self.at(now);
-        if seed != self.own.addr {
+        if seed != self.own.addr && !self.leaving {
             // An error here is foca's word that the seed is ourselves: nothing to do.
             let _ = self.foca.announce(PeerId { addr: seed, incarnation: 0 }, &mut self.outside);
         }
     }
 
-    /// Takes a datagram that came at `now`; what cannot be taken is counted in [`Swim::dropped`].
-    pub fn datagram(&mut self, now: Micros, bytes: &[u8]) {
+    /// Takes a datagram that came at `now`; what cannot be taken is counted in [`Swim::dropped`]. Who sent it, if
+    /// it is a peer's.
+    pub fn datagram(&mut self, now: Micros, bytes: &[u8]) -> Option<PeerId> {
         self.at(now);
         if bytes.len() > MAX_DATAGRAM {
             self.dropped.oversized += 1;
-        } else if bytes.len() < HEADER_BYTES || bytes[..HEADER_BYTES] != self.outside.header {
+            return None;
+        }
+        let Some(data) = bytes.strip_prefix(&self.outside.header) else {
             self.dropped.foreign += 1;
-        } else if self.foca.handle_data(&bytes[HEADER_BYTES..], &mut self.outside).is_err() {
+            return None;
+        };
+        let header = read_header(data);
+        if let Some(Message::Ack(number) | Message::ForwardedAck { probe_number: number, .. }) =
+            header.as_ref().map(|header| &header.message)
+        {
+            self.outside.detector.acknowledged(*number);
+        }
+        if self.foca.handle_data(data, &mut self.outside).is_err() {
             self.dropped.garbled += 1;
+            return None;
         }
+        self.rejoin();
+        let from = header.map(|header| header.src).filter(|src| src.addr != self.own.addr)?;
+        self.outside.detector.heard(now, from.addr);
+        Some(from)
     }
 
     /// Whether a datagram is of this fleet and of `version`, and no longer than any we send.
     pub fn is_ours(&self, bytes: &[u8], version: u8) -> bool {
-        let mut header = self.outside.header;
-        header[2] = version;
+        let header = header(version, self.settings.cluster);
         bytes.len() <= MAX_DATAGRAM && bytes.starts_with(&header)
     }
 
@@ -277,7 +439,14 @@
 
     /// When foca wants to be woken next, if at all.
     pub fn next(&self) -> Option<Micros> {
-        self.outside.timers.peek().map(|Reverse((due, _, _))| *due)
+        let due = self.outside.timers.peek().map(|Reverse((due, _, _))| *due)?;
+        Some(due.saturating_add(self.outside.stalled))
+    }
+
+    /// The process did not run for so long: foca's time stood still.
+    pub fn stalled(&mut self, span: Micros) {
+        self.outside.stalled += span;
+        self.outside.detector.stalled();
     }
 
     /// Runs the timers due at `now`.
@@ -285,6 +454,17 @@
         self.at(now);
         while self.next().is_some_and(|due| due <= now) {
             let Some(Reverse((_, _, TimerSlot(timer)))) = self.outside.timers.pop() else { break };
+            if let Timer::ChangeSuspectToDown { member_id, .. } = &timer {
+                match self.outside.detector.sentence(*member_id) {
+                    Sentence::Down => {}
+                    Sentence::Dropped => continue,
+                    Sentence::Postponed => {
+                        let due = self.outside.running() + self.settings.probe;
+                        self.outside.set(timer, due);
+                        continue;
+                    }
+                }
+            }
             let _ = self.foca.handle_timer(timer, &mut self.outside); // a stale timer is foca's to drop
         }
     }
@@ -298,8 +478,8 @@
         let _ = self.foca.add_broadcast(&summary.encode()); // only ever our own well-formed bytes
     }
 
-    /// Datagrams to send, with their addresses.
-    pub fn outbox(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
+    /// Datagrams to send.
+    pub fn outbox(&mut self) -> Vec<Outgoing> {
         std::mem::take(&mut self.outside.out)
     }
 
@@ -325,6 +505,12 @@
         self.foca.iter_members().map(|m| m.id().addr)
     }
 
+    /// What foca holds of the member at an address.
+    pub fn known(&self, addr: SocketAddr) -> Option<(PeerId, bool)> {
+        let member = self.foca.iter_membership_state().find(|member| member.id().addr == addr)?;
+        Some((*member.id(), member.state() == State::Down))
+    }
+
     /// Whether a fresh summary is of a front end that takes no part in the averaging (see [`Summary::views`]).
     pub fn mixed(&self, now: Micros) -> bool {
         self.held.lock().unwrap_or_else(PoisonError::into_inner).0.fresh(now).any(|s| !s.views)
@@ -340,3 +526,11 @@
         self.held.lock().unwrap_or_else(PoisonError::into_inner).0.fresh(now).copied().collect()
     }
 }
+
+fn start(
+    own: PeerId, config: &Config, seed: u64, held: &Arc<Mutex<(Summaries, Micros)>>,
+) -> Foca<PeerId, PostcardCodec, SmallRng, Gossiped> {
+    let handler = Gossiped { own: own.addr, held: held.clone() };
+    let rng = SmallRng::seed_from_u64(seed);
+    Foca::with_custom_broadcast(own, config.clone(), rng, PostcardCodec, handler)
+}
--- /dev/null
+++ b/wrenseam/src/fleet/traffic.rs
@@ -0,0 +1,106 @@
+//! One budget of bytes a second for all that a front end gossips, and the bytes by kind. No I/O; time is handed in.
+use bramblepath::Micros;
+
+/// Bytes a second that a front end sends on average at the most: with as many received, and [`BURST`] besides,
+/// the worst second stays under 22 KB.
+pub const RATE: i64 = 8_000;
+/// Bytes that may be sent at once after a quiet time.
+pub const BURST: i64 = 2_800;
+
+/// What a datagram is for, the least dispensable first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TrafficKind {
+    /// Probes, their acknowledgements and inquiries: always sent.
+    Probe,
+    /// Exchanges of the averaging: of bounded number, always sent.
+    Average,
+    /// Joins, lists of members, and news of them.
+    Membership,
+    /// Records that have just changed.
+    Rumor,
+    /// Anti-entropy between two members.
+    Repair,
+}
+
+impl TrafficKind {
+    /// All kinds, in the order of [`Traffic::sent`].
+    pub const ALL: [TrafficKind; 5] = [
+        TrafficKind::Probe,
+        TrafficKind::Average,
+        TrafficKind::Membership,
+        TrafficKind::Rumor,
+        TrafficKind::Repair,
+    ];
+
+    /// Its name in telemetry.
+    pub fn name(self) -> &'static str {
+        match self {
+            TrafficKind::Probe => "probe",
+            TrafficKind::Average => "average",
+            TrafficKind::Membership => "membership",
+            TrafficKind::Rumor => "rumor",
+            TrafficKind::Repair => "repair",
+        }
+    }
+
+    /// What has to be left of the burst for it to be sent; `None`: it is sent whatever is left.
+    fn reserve(self) -> Option<i64> {
+        match self {
+            TrafficKind::Probe | TrafficKind::Average => None,
+            TrafficKind::Membership => Some(0),
+            TrafficKind::Rumor => Some(BURST / 8),
+            TrafficKind::Repair => Some(BURST / 4),
+        }
+    }
+}
+
+/// A token bucket over all kinds, each of which leaves a reserve to those before it.
+#[derive(Clone, Debug)]
+pub struct Traffic {
+    tokens: i64,
+    at: Micros,
+    /// Bytes sent, by kind.
+    pub sent: [u64; TrafficKind::ALL.len()],
+    /// Bytes held back, by kind.
+    pub held_back: [u64; TrafficKind::ALL.len()],
+}
+
+impl Default for Traffic {
+    fn default() -> Self {
+        let none = [0; TrafficKind::ALL.len()];
+        Traffic { tokens: BURST, at: 0, sent: none, held_back: none }
+    }
+}
+
+impl Traffic {
+    /// Whether a datagram of so many bytes may go at `now`; counts it either way.
+    pub fn admit(&mut self, now: Micros, kind: TrafficKind, bytes: usize) -> bool {
+        self.refill(now);
+        let size = bytes as i64;
+        let admitted = kind.reserve().is_none_or(|reserve| self.tokens - size >= reserve);
+        if admitted {
+            // What always goes may overdraw, up to a second's worth: the others then wait for that long.
+            self.tokens = (self.tokens - size).max(-RATE);
+            self.sent[kind as usize] += bytes as u64;
+        } else {
+            self.held_back[kind as usize] += bytes as u64;
+        }
+        admitted
+    }
+
+    /// Whether the budget is tight: less than a datagram's reserve is left for repair.
+    pub fn is_tight(&mut self, now: Micros) -> bool {
+        self.refill(now);
+        self.tokens < BURST / 2
+    }
+
+    fn refill(&mut self, now: Micros) {
+        let passed = now.saturating_sub(self.at).min(10_000_000) as i64;
+        let earned = passed * RATE / 1_000_000;
+        // Time that earned less than a byte is not taken, or frequent calls would earn nothing.
+        if earned > 0 {
+            self.tokens = (self.tokens + earned).min(BURST);
+            self.at = now;
+        }
+    }
+}
--- a/wrenseam/src/gossip.rs
+++ b/wrenseam/src/gossip.rs
@@ -1,22 +1,27 @@
 //! The fleet's datagrams: one UDP socket on a coroutine that feeds [`crate::fleet::Node`] with what comes
-//! and the time, sends what it asks, hands it the core's summary each probe period, and tells the core
-//! what the fleet looks like. All decisions are in `crate::fleet`; this file only carries.
+//! and the time, sends what it asks, hands it the core's summary each probe period, tells the core what the fleet
+//! looks like, and the fleet what this front end is doing. All decisions are in `crate::fleet`; this file only carries.
 use crate::config::Fleet;
 use crate::core::{Clock, Message, Shared};
 use crate::fleet::identity::MAX_DATAGRAM;
 use crate::fleet::node::EXTRA_TRANSMISSIONS;
 use crate::fleet::swim::Dropped;
-use crate::fleet::{Node, NodeSettings, PeerEvent, SwimSettings};
+use crate::fleet::{Facts, Lifecycle, Node, NodeSettings, PeerEvent, SwimSettings};
 use bramblepath::Micros;
 use may::net::UdpSocket;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Peers of which summaries are held at the most: more than any fleet we run, and a bound on memory.
 const CAPACITY: usize = 1024;
 
+/// How long a process that ends waits at the most for the fleet to be told.
+const LEAVE_WITHIN: Duration = Duration::from_millis(300);
+
 /// A 32-bit name of the cluster (FNV-1a of its text), carried in every datagram.
 pub fn cluster_id(name: &str) -> u32 {
     name.bytes().fold(0x811c_9dc5u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
@@ -43,7 +48,14 @@
         fresh_for: 3 * fleet.probe_ms * 1000,
         capacity: CAPACITY,
     };
-    let settings = NodeSettings { swim, seeds: fleet.seeds.clone(), summaries: fleet.summaries };
+    let facts = Facts {
+        lifecycle: shared.lifecycle(),
+        zone: fleet.zone.clone(),
+        program: env!("CARGO_PKG_VERSION").to_owned(),
+        config_digest: shared.config_digest.load(Ordering::Acquire),
+        entries: BTreeMap::new(),
+    };
+    let settings = NodeSettings { swim, facts, seeds: fleet.seeds.clone(), summaries: fleet.summaries };
     // A later start at the same address wins over the incarnation before it: the clock's Unix microseconds.
     let node = Node::new(own, clock.now(), settings, seed);
     let period = fleet.probe_ms * 1000;
@@ -61,6 +73,11 @@
     loop {
         let now = clock.now();
         node.tick(now);
+        if tell_of_ourselves(&mut node, now, &shared) {
+            send(&socket, &mut node);
+            shared.left.store(true, Ordering::Release);
+            return;
+        }
         if now >= publish_at {
             publish_at = now + period;
             let own = *shared.summary.lock().unwrap_or_else(PoisonError::into_inner);
@@ -83,14 +100,13 @@
                 note!("fleet: front ends from before the view {told}");
             }
         }
-        for (to, bytes) in node.outbox() {
-            // A peer that is gone answers with an ICMP error on a later call: nothing to do but go on.
-            let _ = socket.send_to(&bytes, to);
-        }
+        send(&socket, &mut node);
         for (_, event) in node.events() {
             match event {
                 PeerEvent::Up(p) => note!("fleet: peer {} up, {} alive", p.addr, node.alive()),
                 PeerEvent::Down(p) => note!("fleet: peer {} down, {} alive", p.addr, node.alive()),
+                PeerEvent::Left(p) => note!("fleet: peer {} left, {} alive", p.addr, node.alive()),
+                PeerEvent::Renamed(_) => {}
                 PeerEvent::Alone => note!("fleet: no peer alive; own budget only"),
                 PeerEvent::Rejoined => {
                     note!("fleet: declared down by peers, rejoined under a new incarnation")
@@ -106,3 +122,34 @@
         }
     }
 }
+
+/// Keeps our record in step with what this front end does; true once it leaves, and the fleet is to be told.
+fn tell_of_ourselves(node: &mut Node, now: Micros, shared: &Shared) -> bool {
+    let lifecycle = shared.lifecycle();
+    if lifecycle == Lifecycle::Leaving {
+        node.leave(now);
+        return true;
+    }
+    let config_digest = shared.config_digest.load(Ordering::Acquire);
+    let told = node.update(now, |facts| (facts.lifecycle, facts.config_digest) = (lifecycle, config_digest));
+    if let Err(why) = told {
+        note!("fleet: our record is not published: {why}");
+    }
+    false
+}
+
+fn send(socket: &UdpSocket, node: &mut Node) {
+    for (to, bytes) in node.outbox() {
+        // A peer that is gone answers with an ICMP error on a later call: nothing to do but go on.
+        let _ = socket.send_to(&bytes, to);
+    }
+}
+
+/// Has the fleet told that this process ends, and waits until that is sent; no longer than [`LEAVE_WITHIN`].
+pub fn leave(shared: &Shared) {
+    shared.leaving.store(true, Ordering::Release);
+    let since = Instant::now();
+    while !shared.left.load(Ordering::Acquire) && since.elapsed() < LEAVE_WITHIN {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -30,7 +30,7 @@
 use limits::Budget;
 use may::net::TcpListener;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{mpsc, Arc};
 
 /// Runs one front end until it has been told to stop and nothing is open.
@@ -44,6 +44,7 @@
     may::config().set_worker_pin(false);
     let (queue, inbox) = mpsc::channel();
     let shared = Arc::new(Shared::default());
+    shared.config_digest.store(Config::digest_with(config.settings_digest, config.board), Ordering::Release);
     let doors = Doors {
         core: queue.clone(),
         limits: limits.clone(),
@@ -117,7 +118,10 @@
         net::spawn(limits.stack, move || front::admin::follow(&inside, named))
             .map_err(|e| format!("exclusions: {e}"))?;
     }
-    shutdown::wait(signals, &listeners, &doors, &board);
+    shutdown::wait(signals, config.settings_digest, &listeners, &doors, &board);
+    if config.fleet.is_some() {
+        gossip::leave(&shared);
+    }
     Ok(())
 }
 
@@ -132,7 +136,7 @@
     let listener = TcpListener::bind(address).map_err(|e| format!("{address}: {e}"))?;
     let (socket, doors) = (Arc::new(listener), doors.clone());
     let inside = socket.clone();
-    doors.accepting.fetch_add(1, std::sync::atomic::Ordering::AcqRel);
+    doors.accepting.fetch_add(1, Ordering::AcqRel);
     let accept = move || front::accept(&inside, &doors, front, serve);
     net::spawn(64 * 1024, accept).map_err(|e| format!("{address}: {e}"))?;
     Ok(front::Listener { socket, front, serve })
--- a/wrenseam/src/shutdown.rs
+++ b/wrenseam/src/shutdown.rs
@@ -12,7 +12,9 @@
 
 /// Serves SIGHUP until SIGTERM or SIGINT comes, then waits for the end of what is open. Returns when the
 /// program may exit.
-pub fn wait(mut signals: Signals, listeners: &[Listener], doors: &Doors, board: &Board) {
+pub fn wait(
+    mut signals: Signals, settings_digest: u64, listeners: &[Listener], doors: &Doors, board: &Board,
+) {
     for signal in signals.forever() {
         if signal != SIGHUP {
             break;
@@ -21,6 +23,8 @@
         match Config::board_now() {
             Ok(address) => {
                 eprintln!("reload: the board is at {address}");
+                let digest = Config::digest_with(settings_digest, Some(address));
+                doors.shared.config_digest.store(digest, Ordering::Release);
                 board.moved(address);
             }
             Err(why) => eprintln!("reload: nothing changed: {why}"),
--- a/wrenseam/tests/fleet_gate.rs
+++ b/wrenseam/tests/fleet_gate.rs
@@ -11,6 +11,7 @@
         advertise: None,
         seeds: Vec::new(),
         cluster: "t".to_owned(),
+        zone: String::new(),
         expected,
         retry_ratio: ratio,
         retry_floor_per_s: floor,
@@ -32,7 +33,7 @@
 #[case::cut_off_but_expected_three(0, 3, 100 + 10 + 10)]
 fn a_storm_stays_within_the_budget(#[case] peers: usize, #[case] expected: usize, #[case] want: u32) {
     let mut gate = Gate::new(&fleet(0.1, 3.0, expected), &Settings::default(), 1);
-    gate.news(0, FleetNews { alive: peers, ..FleetNews::default() });
+    gate.news(0, FleetNews { alive: peers, by_lifecycle: [0, peers, 0, 0], ..FleetNews::default() });
     let mut sent = 0;
     for request in 0..100u64 {
         for try_ in 0..5 {
--- a/wrenseam/tests/fleet_swim.rs
+++ b/wrenseam/tests/fleet_swim.rs
@@ -62,8 +62,8 @@
                     self.swims[i].publish(now, s);
                 }
                 self.swims[i].tick(now);
-                for (to, bytes) in self.swims[i].outbox() {
-                    let to = (to.port() - 7000) as usize;
+                for out in self.swims[i].outbox() {
+                    let (to, bytes) = ((out.to.port() - 7000) as usize, out.bytes);
                     let copies = if self.rng.random::<f64>() < self.dup { 2 } else { 1 };
                     for _ in 0..copies {
                         if self.rng.random::<f64>() >= self.loss {
