Fleet: repair by hashes of members, a budget that ends repairs, accusations only on proof

In the random schedules one that had been deaf accused as soon as it heard again, before its suspects could answer. Ruled out: more transmissions of news (none besides foca's: no sooner), other bucket counts (equal members dominate). Change: a repair tells part digests, then 4-byte hashes of members, then claims of what differs (repair.rs); none is begun that the budget cannot end (traffic.rs); probes carry 24 news at the most (swim.rs); who accuses must have been heard without a gap for half of the suspicion's time, after it began and up to now (detector.rs); the disputed are asked by way of others too; a leave is told by the record alone, as foca's word looks like a failure.

--- a/wrenseam/src/fleet/detector.rs
+++ b/wrenseam/src/fleet/detector.rs
@@ -3,8 +3,8 @@
 //!
 //! - Its own probes that fail in a row, and times in which it did not run, lengthen its probes and suspicions.
 //! - A suspicion is dropped once the suspect is heard from, by any datagram.
-//! - It accuses nobody while it has no proof that it is heard and hears: a probe of its own, begun no earlier than the
-//!   one that failed, has to have been acknowledged.
+//! - It accuses nobody unless it has proof that it heard and was heard for half of the suspicion's time, without a gap
+//!   and up to now: probes of its own that were acknowledged. Who hears nobody accuses nobody.
 use super::identity::PeerId;
 use bramblepath::Micros;
 use std::collections::BTreeMap;
@@ -16,7 +16,6 @@
 /// A probe of ours.
 #[derive(Clone, Copy, Debug)]
 struct Probe {
-    target: PeerId,
     number: u8,
     began: Micros,
     acknowledged: bool,
@@ -26,8 +25,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
     id: PeerId,
-    /// When the probe that failed was begun.
-    probed: Micros,
     since: Micros,
 }
 
@@ -49,6 +46,11 @@
     failed_before: bool,
     /// When the newest probe that was acknowledged had begun.
     proven: Option<Micros>,
+    /// Since when probes have been acknowledged without a gap.
+    proven_since: Option<Micros>,
+    probe_period: Micros,
+    /// For how long we have to have heard and been heard before we accuse.
+    proof_for: Micros,
     doubt: u32,
     suspicions: BTreeMap<SocketAddr, Suspicion>,
     /// When each peer was last heard from, by any datagram of its own.
@@ -58,12 +60,22 @@
 }
 
 impl Detector {
+    /// A detector by the probe period and the time of a suspicion, which trusts itself.
+    pub fn new(probe_period: Micros, suspect_for: Micros) -> Detector {
+        Detector { probe_period, proof_for: suspect_for / 2, ..Detector::default() }
+    }
+
+    /// The longest time between the beginnings of two acknowledged probes that is no gap: one may fail.
+    fn gap(&self) -> Micros {
+        self.probe_period * Micros::from(self.factor()) * 9 / 4
+    }
+
     /// A probe begins; the one before it has ended.
-    pub fn probe_began(&mut self, now: Micros, target: PeerId, number: u8) {
+    pub fn probe_began(&mut self, now: Micros, number: u8) {
         if let Some(before) = self.probe.take() {
             self.probe_ended(before.acknowledged);
         }
-        self.probe = Some(Probe { target, number, began: now, acknowledged: false });
+        self.probe = Some(Probe { number, began: now, acknowledged: false });
     }
 
     /// One failure may be the other's; the second in a row, of two peers, is rather ours.
@@ -77,11 +89,14 @@
     }
 
     /// A probe of ours was acknowledged, by its target or by way of another.
-    pub fn acknowledged(&mut self, number: u8) {
-        if let Some(probe) = self.probe.as_mut().filter(|probe| probe.number == number) {
-            probe.acknowledged = true;
-            self.proven = Some(probe.began);
+    pub fn acknowledged(&mut self, now: Micros, number: u8) {
+        let gap = self.gap();
+        let Some(probe) = self.probe.as_mut().filter(|probe| probe.number == number) else { return };
+        probe.acknowledged = true;
+        if self.proven.is_none_or(|proven| probe.began.saturating_sub(proven) > gap) {
+            self.proven_since = Some(now);
         }
+        self.proven = Some(probe.began);
     }
 
     /// This front end did not run for a while.
@@ -110,10 +125,9 @@
         self.heard.get(&addr).copied()
     }
 
-    /// A peer is suspected from `now` on, for its failed probe if that is the one that was under way.
+    /// A peer is suspected from `now` on.
     pub fn suspected(&mut self, now: Micros, id: PeerId) {
-        let probed = self.probe.filter(|probe| probe.target == id).map_or(now, |probe| probe.began);
-        self.suspicions.insert(id.addr, Suspicion { id, probed, since: now });
+        self.suspicions.insert(id.addr, Suspicion { id, since: now });
     }
 
     /// Who is suspected.
@@ -122,13 +136,13 @@
     }
 
     /// The time of a suspicion is up.
-    pub fn sentence(&mut self, id: PeerId) -> Sentence {
+    pub fn sentence(&mut self, now: Micros, id: PeerId) -> Sentence {
         let Some(suspicion) = self.suspicions.get(&id.addr).copied().filter(|s| s.id == id) else {
             return Sentence::Dropped;
         };
         let sentence = if self.last_heard(id.addr) >= Some(suspicion.since) {
             Sentence::Dropped
-        } else if self.is_proven_since(suspicion.probed) {
+        } else if self.may_accuse(now, suspicion.since) {
             Sentence::Down
         } else {
             Sentence::Postponed
@@ -139,9 +153,13 @@
         sentence
     }
 
-    /// Whether a probe of ours that began at `since` or later was acknowledged.
-    pub fn is_proven_since(&self, since: Micros) -> bool {
-        self.proven >= Some(since)
+    /// Whether we heard and were heard for long enough since then, without a gap and up to now.
+    pub fn may_accuse(&self, now: Micros, since: Micros) -> bool {
+        let lately = now.saturating_sub(self.probe_period * 9 / 4).max(since);
+        let up_to_now = self.proven >= Some(lately);
+        let for_long =
+            self.proven_since.is_some_and(|began| now.saturating_sub(began.max(since)) >= self.proof_for);
+        up_to_now && for_long
     }
 
     /// A peer is counted out, or alive in a new incarnation: what was held of the former is void.
@@ -154,6 +172,7 @@
     pub fn restart(&mut self) {
         self.probe = None;
         self.proven = None;
+        self.proven_since = None;
         self.suspicions.clear();
         self.heard.clear();
         self.heard_any = None;
--- a/wrenseam/src/fleet/directory.rs
+++ b/wrenseam/src/fleet/directory.rs
@@ -6,8 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// Buckets of the digest: a bit each in a message's set of buckets.
-pub const BUCKETS: usize = 64;
+/// Parts that a view's digest is told by; a bit each in a message's set of parts.
+pub const PARTS: usize = 16;
 /// How long a member that is gone is remembered, in microseconds: a day. Nobody who missed its end for longer can
 /// still tell of it (see `Swim::restart`), so that it does not come back by hearsay.
 pub const GONE_FOR: Micros = 86_400_000_000;
@@ -78,12 +78,17 @@
     checksum: u32,
 }
 
+/// Repairs that a member may leave unanswered before it counts as one that knows no records.
+const TRIES: u8 = 3;
+
 #[derive(Clone, Debug)]
 struct Member {
     incarnation: u64,
     liveness: Liveness,
     since: Micros,
     record: Option<HeldRecord>,
+    /// Whether it told that it leaves.
+    leaving: bool,
     /// Repairs begun with it in a row that it did not answer in any way.
     unanswered: u8,
 }
@@ -108,7 +113,8 @@
     members: BTreeMap<SocketAddr, Member>,
     /// Where there were members before [`Directory::forget_all`], that are not known again.
     lost: BTreeSet<SocketAddr>,
-    buckets: [u64; BUCKETS],
+    /// Of each part, the live members' hashes as one.
+    parts: [u64; PARTS],
 }
 
 impl Directory {
@@ -120,7 +126,7 @@
             own_checksum,
             members: BTreeMap::new(),
             lost: BTreeSet::new(),
-            buckets: [0; BUCKETS],
+            parts: [0; PARTS],
         };
         directory.toggle(directory.own_claim());
         directory
@@ -147,7 +153,7 @@
     /// Takes a live member's part out of the digest, or puts it in.
     fn toggle(&mut self, claim: Claim) {
         if !claim.liveness.is_gone() {
-            self.buckets[bucket_of(claim.owner)] ^= claim_hash(&claim);
+            self.parts[part_of(claim.owner)] ^= claim_hash(&claim);
         }
     }
 
@@ -172,6 +178,7 @@
             liveness: Liveness::Down,
             since: now,
             record: None,
+            leaving: false,
             unanswered: 0,
         });
         self.change(id.addr, |member| {
@@ -181,6 +188,7 @@
                 liveness: Liveness::Alive,
                 since: now,
                 record: member.record.take(),
+                leaving: false,
                 unanswered,
             };
         });
@@ -193,11 +201,11 @@
 
     /// Membership counts `id` out since `now`; how it went.
     pub fn gone(&mut self, now: Micros, id: PeerId) -> Liveness {
-        let leaving = |held: &HeldRecord| held.facts.lifecycle == Lifecycle::Leaving;
         let mut how = Liveness::Down;
         self.change(id.addr, |member| {
+            let same = member.incarnation == id.incarnation;
             member.incarnation = id.incarnation;
-            if member.liveness == Liveness::Left || member.current().is_some_and(leaving) {
+            if same && (member.leaving || member.liveness == Liveness::Left) {
                 how = Liveness::Left;
             }
             member.liveness = how;
@@ -206,6 +214,20 @@
         how
     }
 
+    /// A member told that it leaves: once membership counts it out, that is no failure.
+    pub fn left(&mut self, id: PeerId) {
+        let leaving = self.members.get_mut(&id.addr).filter(|member| member.incarnation == id.incarnation);
+        if let Some(member) = leaving {
+            member.leaving = true;
+        }
+    }
+
+    /// Whether there are members that know no records: front ends from before them.
+    pub fn is_mixed(&self) -> bool {
+        let alive = self.members.values().filter(|member| !member.liveness.is_gone());
+        alive.into_iter().any(|member| member.record.is_none() && member.unanswered >= TRIES)
+    }
+
     /// Weighs what somebody holds of a member against what is held here.
     pub fn weigh(&self, claim: &Claim) -> Verdict {
         if claim.owner == self.own.owner {
@@ -300,21 +322,22 @@
         Some(Record { owner: addr, stamp: held.stamp, facts: held.facts.clone() })
     }
 
-    /// What is held of all members in a set of buckets, this front end among them.
-    pub fn claims_in(&self, buckets: u64) -> impl Iterator<Item = Claim> + '_ {
+    /// What is held of the live members in a set of parts, this front end among them.
+    pub fn claims_in(&self, parts: u16) -> impl Iterator<Item = Claim> + '_ {
         let own = std::iter::once(self.own_claim());
         let others = self.members.iter().map(|(&addr, member)| member.claim(addr));
-        own.chain(others).filter(move |claim| buckets & bucket_bit(claim.owner) != 0)
+        let alive = own.chain(others).filter(|claim| !claim.liveness.is_gone());
+        alive.filter(move |claim| parts & (1 << part_of(claim.owner)) != 0)
     }
 
     /// The digest of the whole view: who is alive, of which incarnation, with which record.
     pub fn digest(&self) -> u64 {
-        self.buckets.iter().fold(0, |digest, &bucket| mix(digest ^ bucket))
+        self.parts.iter().fold(0, |digest, &part| mix(digest ^ part))
     }
 
-    /// The view's digests by bucket.
-    pub fn bucket_digests(&self) -> [u32; BUCKETS] {
-        self.buckets.map(|bucket| (bucket ^ (bucket >> 32)) as u32)
+    /// The view's digests by part.
+    pub fn part_digests(&self) -> [u32; PARTS] {
+        self.parts.map(short)
     }
 
     /// Members counted alive besides this front end.
@@ -334,17 +357,27 @@
         let members = std::mem::take(&mut self.members);
         let alive = members.iter().filter(|(_, member)| !member.liveness.is_gone());
         self.lost.extend(alive.map(|(&addr, _)| addr).take(GONE_HELD));
-        self.buckets = [0; BUCKETS];
+        self.parts = [0; PARTS];
         self.toggle(self.own_claim());
     }
 
-    /// Members besides this front end by lifecycle, in the order of [`Lifecycle::ALL`]. One without a record (a front
-    /// end from before records, or one just heard of) counts as ready.
+    /// What a member is doing; one without a record (a front end from before records, or one just heard of) counts as
+    /// ready.
+    fn lifecycle(member: &Member) -> Lifecycle {
+        member.current().map_or(Lifecycle::Ready, |held| held.facts.lifecycle)
+    }
+
+    /// Members besides this front end that take clients.
+    pub fn ready(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        let alive = self.members.iter().filter(|(_, member)| !member.liveness.is_gone());
+        alive.filter(|(_, member)| Self::lifecycle(member) == Lifecycle::Ready).map(|(&addr, _)| addr)
+    }
+
+    /// Members besides this front end by lifecycle, in the order of [`Lifecycle::ALL`].
     pub fn by_lifecycle(&self) -> [usize; Lifecycle::ALL.len()] {
         let mut counts = [0; Lifecycle::ALL.len()];
         for member in self.members.values().filter(|member| !member.liveness.is_gone()) {
-            let lifecycle = member.current().map_or(Lifecycle::Ready, |held| held.facts.lifecycle);
-            counts[lifecycle as usize] += 1;
+            counts[Self::lifecycle(member) as usize] += 1;
         }
         counts
     }
@@ -352,7 +385,6 @@
     /// Whether a member has answered a repair, or has not been tried often in vain: front ends from before records
     /// never answer.
     pub fn repairs(&self, addr: SocketAddr) -> bool {
-        const TRIES: u8 = 3;
         self.members.get(&addr).is_some_and(|member| member.record.is_some() || member.unanswered < TRIES)
     }
 
@@ -385,16 +417,20 @@
     }
 }
 
-/// The set that holds only the bucket of a member.
-pub fn bucket_bit(addr: SocketAddr) -> u64 {
-    1 << bucket_of(addr)
-}
-
-fn bucket_of(addr: SocketAddr) -> usize {
-    (mix(address_hash(addr)) % BUCKETS as u64) as usize
+fn part_of(addr: SocketAddr) -> usize {
+    (mix(address_hash(addr)) % PARTS as u64) as usize
 }
 
 fn claim_hash(claim: &Claim) -> u64 {
     let content = u64::from(claim.stamp.version) << 32 | u64::from(claim.checksum);
     mix(mix(mix(address_hash(claim.owner)) ^ claim.stamp.incarnation) ^ content)
 }
+
+/// A claim's hash as messages tell it.
+pub fn short_hash(claim: &Claim) -> u32 {
+    short(claim_hash(claim))
+}
+
+fn short(hash: u64) -> u32 {
+    (hash ^ (hash >> 32)) as u32
+}
--- a/wrenseam/src/fleet/inquiry.rs
+++ b/wrenseam/src/fleet/inquiry.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 /// Members asked about at once; of others that are disputed the next repair tells again.
-const HELD: usize = 256;
+const HELD: usize = 48;
 
 #[derive(Clone, Copy, Debug)]
 struct Dispute {
@@ -19,8 +19,13 @@
 /// What is to be done about a disputed member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// It is to be asked once more.
-    Ask(PeerId),
+    /// It is to be asked.
+    Ask {
+        /// The incarnation that is disputed.
+        id: PeerId,
+        /// Whether it was asked before in vain: others may have a way to it.
+        again: bool,
+    },
     /// Its time to answer is up.
     TimeUp {
         /// The incarnation that is disputed.
@@ -68,7 +73,7 @@
             if now.saturating_sub(dispute.began) >= self.answer_within {
                 steps.push(Step::TimeUp { id: dispute.id, began: dispute.began });
             } else {
-                steps.push(Step::Ask(dispute.id));
+                steps.push(Step::Ask { id: dispute.id, again: dispute.asked > 0 });
             }
             dispute.ask_at = now + (self.every << dispute.asked.min(2));
             dispute.asked += 1;
--- a/wrenseam/src/fleet/members.rs
+++ b/wrenseam/src/fleet/members.rs
@@ -1,6 +1,6 @@
 //! Who is in the fleet and what each says of itself: membership ([`Swim`]), the records ([`Directory`]), and the
 //! datagrams that keep both the same everywhere. No I/O; docs/fleet-view.md has the design.
-use super::directory::{Claim, Directory, Liveness, Verdict};
+use super::directory::{Claim, Directory, Liveness, Verdict, PARTS};
 use super::identity::{header, PeerId, HEADER_BYTES};
 use super::inquiry::{Disputes, Step};
 use super::message::{records_in_messages, Envelope, Message, RECORDS_VERSION};
@@ -57,6 +57,8 @@
     out: Vec<Outgoing>,
     events: Vec<(Micros, PeerEvent)>,
     changed: bool,
+    /// Whether the budget of bytes leaves no room for a whole repair: none is begun, and no rumor passed on.
+    is_tight: bool,
     digest: u64,
     digest_since: Micros,
     /// What became of the datagrams of records.
@@ -76,7 +78,7 @@
             swim,
             directory,
             rumors: Rumors::default(),
-            disputes: Disputes::new(probe / 2, 2 * settings.suspect_for + probe),
+            disputes: Disputes::new(probe / 2, settings.suspect_for + probe),
             pace: Pace::new(probe, &mut rng),
             rumor_at: rng.random_range(0..probe / 4),
             inquire_at: rng.random_range(0..probe / 2),
@@ -89,12 +91,18 @@
             out: Vec::new(),
             events: Vec::new(),
             changed: true,
+            is_tight: false,
             digest,
             digest_since: 0,
             counts: RecordCounts::default(),
         }
     }
 
+    /// Whether the budget of bytes leaves no room for a whole repair.
+    pub fn set_tight(&mut self, is_tight: bool) {
+        self.is_tight = is_tight;
+    }
+
     /// Membership.
     pub fn swim(&mut self) -> &mut Swim {
         &mut self.swim
@@ -110,14 +118,12 @@
         self.swim.alive()
     }
 
-    /// The members, this front end among them, that take clients, if it does so itself; else none.
+    /// The other members that take clients, if this front end does so itself; else none.
     pub fn ready(&self) -> Vec<SocketAddr> {
         if self.directory.own().facts.lifecycle != Lifecycle::Ready {
             return Vec::new();
         }
-        let lifecycle = |addr| self.directory.record(addr).map_or(Lifecycle::Ready, |r| r.facts.lifecycle);
-        let members = self.directory.alive().map(|id| id.addr);
-        members.filter(|&addr| lifecycle(addr) == Lifecycle::Ready).collect()
+        self.directory.ready().collect()
     }
 
     /// Whether members, or what they say, may have changed since the last call.
@@ -187,7 +193,7 @@
             self.send(to, TrafficKind::Probe, news);
         }
         self.leaving = true;
-        self.swim.leave(now);
+        self.swim.leave(now, self.directory.is_mixed());
         self.settle(now);
     }
 
@@ -226,7 +232,7 @@
         }
         self.swim.tick(now);
         self.settle(now);
-        if self.pace.is_due(now, &mut self.rng) {
+        if self.pace.is_due(now, &mut self.rng) && !self.is_tight {
             self.begin_repair(now);
         }
         if now >= self.rumor_at {
@@ -313,11 +319,9 @@
             return;
         }
         match message {
-            Message::Digest(theirs) => self.answer_digest(now, from, theirs),
-            Message::Buckets(theirs) => self.answer_buckets(now, from, &theirs),
-            Message::Claims { ask, buckets, claims } => {
-                self.take_claims(now, from, &claims, ask.then_some(buckets));
-            }
+            Message::Digest(theirs) => self.answer_digest(now, from, &theirs),
+            Message::Hashes { parts, hashes } => self.answer_hashes(now, from, parts, &hashes),
+            Message::Claims { unmatched, claims } => self.take_claims(now, from, &claims, &unmatched),
             Message::Records { news, records } => {
                 records.into_iter().for_each(|record| self.take_record(now, record, news));
             }
@@ -354,7 +358,7 @@
         }
         let about = PeerId { addr: from.addr, incarnation: known };
         let origin = self.directory.own().owner;
-        self.send(from.addr, TrafficKind::Membership, Message::Inquiry { about, gone, origin });
+        self.send(from.addr, TrafficKind::Join, Message::Inquiry { about, gone, origin });
         true
     }
 
@@ -363,42 +367,44 @@
         let members = self.directory.alive().map(|id| id.addr).filter(|&addr| self.directory.repairs(addr));
         let Some(to) = members.choose(&mut self.rng) else { return };
         self.directory.tried(to);
-        self.send(to, TrafficKind::Rumor, Message::Digest(self.directory.digest()));
+        self.send(to, TrafficKind::RepairBegin, Message::Digest(self.directory.part_digests()));
     }
 
-    fn answer_digest(&mut self, now: Micros, from: PeerId, theirs: u64) {
-        if theirs == self.directory.digest() {
+    fn answer_digest(&mut self, now: Micros, from: PeerId, theirs: &[u32; PARTS]) {
+        let differing = repair::differing(&self.directory.part_digests(), theirs);
+        if differing == 0 {
             return;
         }
-        self.counts.repairs += 1;
         self.pace.differs(now);
-        self.send(from.addr, TrafficKind::Repair, Message::Buckets(self.directory.bucket_digests()));
-    }
-
-    fn answer_buckets(&mut self, now: Micros, from: PeerId, theirs: &[u32; super::directory::BUCKETS]) {
-        let differing = repair::differing(&self.directory.bucket_digests(), theirs);
-        if differing == 0 {
+        if self.is_tight {
             return;
         }
+        self.counts.repairs += 1;
+        let (parts, hashes) = repair::hashes(&self.directory, differing, &mut self.rng);
+        self.send(from.addr, TrafficKind::RepairBegin, Message::Hashes { parts, hashes });
+    }
+
+    fn answer_hashes(&mut self, now: Micros, from: PeerId, parts: u16, theirs: &[u32]) {
         self.pace.differs(now);
-        let known = self.swim.alive() + 1;
-        let buckets = repair::choose(&self.directory, differing, known, &mut self.rng);
-        let claims = repair::claims_for(&self.directory, buckets);
-        self.send(from.addr, TrafficKind::Repair, Message::Claims { ask: true, buckets, claims });
+        let (claims, unmatched) = repair::mismatches(&self.directory, parts, theirs, &mut self.rng);
+        if !claims.is_empty() || !unmatched.is_empty() {
+            self.send(from.addr, TrafficKind::Repair, Message::Claims { unmatched, claims });
+        }
     }
 
-    fn take_claims(&mut self, now: Micros, from: PeerId, claims: &[Claim], asked: Option<u64>) {
-        let found = repair::compare(&self.directory, claims, asked);
-        if !found.claims.is_empty() {
-            let (buckets, claims) = (asked.unwrap_or(0), found.claims);
-            self.send(from.addr, TrafficKind::Repair, Message::Claims { ask: false, buckets, claims });
+    fn take_claims(&mut self, now: Micros, from: PeerId, claims: &[Claim], unmatched: &[u32]) {
+        let found = repair::compare(&self.directory, claims);
+        let mut newer = found.newer;
+        newer.extend(repair::claims_of(&self.directory, unmatched, claims));
+        // Only what is newer than the other's, so that no answer calls for another without end.
+        for claims in repair::in_datagrams(&newer) {
+            self.send(from.addr, TrafficKind::Repair, Message::Claims { unmatched: Vec::new(), claims });
         }
         if !found.wanted.is_empty() {
             self.send(from.addr, TrafficKind::Repair, Message::Wanted(found.wanted));
         }
-        self.send_records(from.addr, found.records.into_iter());
         found.learn.into_iter().for_each(|id| self.swim.learn(now, id, false, false));
-        found.left.into_iter().for_each(|id| self.swim.learn(now, id, true, false));
+        found.left.into_iter().for_each(|id| self.take_leave(now, id));
         self.settle(now);
         found.restamps.iter().for_each(|claim| self.directory.restamp(claim));
         found.disputes.into_iter().for_each(|id| self.disputes.open(now, id));
@@ -443,14 +449,22 @@
             return;
         }
         self.counts.taken += 1;
-        if news && self.rumors.add(owner) {
+        if news && !self.is_tight && self.rumors.add(owner) {
             self.rumor_at = self.rumor_at.min(now + self.probe / 4);
         }
         if lifecycle == Lifecycle::Leaving {
-            self.swim.learn(now, id, true, false);
+            self.take_leave(now, id);
         }
     }
 
+    /// A member leaves by its own word. Front ends from before records hear of it as one that is down; to others that
+    /// would look like a failure, should it come before the record.
+    fn take_leave(&mut self, now: Micros, id: PeerId) {
+        self.directory.left(id);
+        let spread = self.directory.is_mixed();
+        self.swim.learn(now, id, true, spread);
+    }
+
     fn pass_rumors_on(&mut self) {
         if self.rumors.is_empty() {
             return;
@@ -469,29 +483,31 @@
     /// Asks suspects, themselves and by way of others, whether they are there, and judges disputes.
     fn inquire(&mut self, now: Micros) {
         let suspects: Vec<PeerId> = self.swim.detector().suspects().collect();
-        for id in suspects {
-            let others = self.directory.alive().map(|other| other.addr).filter(|&addr| addr != id.addr);
-            let mut ways = pick(&mut self.rng, others.collect(), RELAYS);
-            ways.push(id.addr);
-            let origin = self.directory.own().owner;
-            for to in ways {
-                self.send(to, TrafficKind::Probe, Message::Inquiry { about: id, gone: false, origin });
-            }
-        }
+        suspects.into_iter().for_each(|id| self.ask_about(id, false, RELAYS));
         self.ask_disputed(now);
     }
 
+    /// Asks a member whether it is there, itself and by way of so many others.
+    fn ask_about(&mut self, about: PeerId, gone: bool, relays: usize) {
+        let mut others = Vec::new();
+        if relays > 0 {
+            others.extend(self.directory.alive().map(|other| other.addr).filter(|&addr| addr != about.addr));
+        }
+        let mut ways = pick(&mut self.rng, others, relays);
+        ways.push(about.addr);
+        let origin = self.directory.own().owner;
+        for to in ways {
+            self.send(to, TrafficKind::Probe, Message::Inquiry { about, gone, origin });
+        }
+    }
+
     fn ask_disputed(&mut self, now: Micros) {
         for step in self.disputes.due(now) {
             match step {
-                Step::Ask(about) => {
-                    let origin = self.directory.own().owner;
-                    let inquiry = Message::Inquiry { about, gone: true, origin };
-                    self.send(about.addr, TrafficKind::Membership, inquiry);
-                }
+                Step::Ask { id, again } => self.ask_about(id, true, if again { RELAYS } else { 0 }),
                 Step::TimeUp { id, began } => {
                     let heard = self.swim.detector().last_heard(id.addr) >= Some(began);
-                    if !heard && self.swim.detector().is_proven_since(began) {
+                    if !heard && self.swim.detector().may_accuse(now, began) {
                         self.swim.learn(now, id, true, true);
                         self.settle(now);
                     }
--- a/wrenseam/src/fleet/message.rs
+++ b/wrenseam/src/fleet/message.rs
@@ -1,6 +1,6 @@
 //! The datagrams by which members share and repair their records: typed, checked by a CRC, and bounded by the
 //! largest datagram. No I/O; docs/fleet-view.md has the exchange.
-use super::directory::{Claim, Liveness, BUCKETS};
+use super::directory::{Claim, Liveness, PARTS};
 use super::identity::{put_address, take, take_address, PeerId, HEADER_BYTES, MAX_DATAGRAM, MAX_INCARNATION};
 use super::record::{Record, RecordError, Stamp};
 use std::net::SocketAddr;
@@ -12,7 +12,7 @@
 
 const CRC_BYTES: usize = 4;
 const KIND_DIGEST: u8 = 0;
-const KIND_BUCKETS: u8 = 1;
+const KIND_HASHES: u8 = 1;
 const KIND_CLAIMS: u8 = 2;
 const KIND_RECORDS: u8 = 3;
 const KIND_WANTED: u8 = 4;
@@ -31,16 +31,19 @@
 /// What a member says to another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Message {
-    /// Begins a repair: the digest of the whole view. Who holds the same says nothing.
-    Digest(u64),
-    /// Answers a digest that differs: the view's digests by bucket.
-    Buckets([u32; BUCKETS]),
-    /// What is held of all members in the buckets of `buckets` (a bit each); `ask`: the other's claims are wanted.
+    /// Begins a repair: the digests of the view by part. Who holds the same says nothing.
+    Digest([u32; PARTS]),
+    /// Answers a digest that differs: a hash of what is held of each live member in some of the differing parts.
+    Hashes {
+        /// The parts that the hashes are of, a bit each.
+        parts: u16,
+        /// The hashes.
+        hashes: Vec<u32>,
+    },
+    /// What is held of members where it differs; who holds newer answers with that.
     Claims {
-        /// Whether an answer is wanted.
-        ask: bool,
-        /// The buckets that these claims are of.
-        buckets: u64,
+        /// The other's hashes that are of nothing held here.
+        unmatched: Vec<u32>,
         /// What is held.
         claims: Vec<Claim>,
     },
@@ -129,16 +132,17 @@
         match self {
             Message::Digest(digest) => {
                 bytes.push(KIND_DIGEST);
-                bytes.extend(digest.to_be_bytes());
+                digest.iter().for_each(|part| bytes.extend(part.to_be_bytes()));
             }
-            Message::Buckets(digests) => {
-                bytes.push(KIND_BUCKETS);
-                digests.iter().for_each(|digest| bytes.extend(digest.to_be_bytes()));
+            Message::Hashes { parts, hashes } => {
+                bytes.push(KIND_HASHES);
+                bytes.extend(parts.to_be_bytes());
+                hashes.iter().for_each(|hash| bytes.extend(hash.to_be_bytes()));
             }
-            Message::Claims { ask, buckets, claims } => {
+            Message::Claims { unmatched, claims } => {
                 bytes.push(KIND_CLAIMS);
-                bytes.push(u8::from(*ask));
-                bytes.extend(buckets.to_be_bytes());
+                bytes.extend((unmatched.len() as u16).to_be_bytes());
+                unmatched.iter().for_each(|hash| bytes.extend(hash.to_be_bytes()));
                 claims.iter().for_each(|claim| put_claim(bytes, claim));
             }
             Message::Records { news, records } => {
@@ -168,19 +172,23 @@
     fn take(rest: &mut &[u8]) -> Result<Message, MessageError> {
         let [kind] = need(rest)?;
         match kind {
-            KIND_DIGEST => Ok(Message::Digest(u64::from_be_bytes(need(rest)?))),
-            KIND_BUCKETS => {
-                let mut digests = [0; BUCKETS];
-                for digest in &mut digests {
-                    *digest = u32::from_be_bytes(need(rest)?);
+            KIND_DIGEST => {
+                let mut digest = [0; PARTS];
+                for part in &mut digest {
+                    *part = take_hash(rest)?;
                 }
-                Ok(Message::Buckets(digests))
+                Ok(Message::Digest(digest))
+            }
+            KIND_HASHES => {
+                let parts = u16::from_be_bytes(need(rest)?);
+                let hashes = until_empty(rest, take_hash)?;
+                Ok(Message::Hashes { parts, hashes })
             }
             KIND_CLAIMS => {
-                let ask = take_flag(rest)?;
-                let buckets = u64::from_be_bytes(need(rest)?);
+                let count = u16::from_be_bytes(need(rest)?);
+                let unmatched = (0..count).map(|_| take_hash(rest)).collect::<Result<_, _>>()?;
                 let claims = until_empty(rest, take_claim)?;
-                Ok(Message::Claims { ask, buckets, claims })
+                Ok(Message::Claims { unmatched, claims })
             }
             KIND_RECORDS => {
                 let news = take_flag(rest)?;
@@ -242,6 +250,10 @@
     take(rest).ok_or(MessageError::Length)
 }
 
+fn take_hash(rest: &mut &[u8]) -> Result<u32, MessageError> {
+    Ok(u32::from_be_bytes(need(rest)?))
+}
+
 fn take_flag(rest: &mut &[u8]) -> Result<bool, MessageError> {
     let [flag] = need(rest)?;
     Ok(flag != 0)
--- a/wrenseam/src/fleet/node.rs
+++ b/wrenseam/src/fleet/node.rs
@@ -123,13 +123,13 @@
     /// Takes a datagram that came at `now`.
     pub fn datagram(&mut self, now: Micros, bytes: &[u8]) {
         self.now = now;
+        self.members.set_tight(self.traffic.is_tight(now));
         if self.members.swim().is_ours(bytes, AVERAGE_VERSION) {
             if let Some(from) = self.average.datagram(now, bytes) {
                 self.members.swim().detector().heard(now, from.addr);
             }
         } else {
             self.members.datagram(now, bytes);
-            self.regroup(now);
         }
     }
 
@@ -142,8 +142,11 @@
     pub fn tick(&mut self, now: Micros) {
         self.now = now;
         self.look_for_stall(now);
+        self.members.set_tight(self.traffic.is_tight(now));
         self.members.tick(now);
-        self.regroup(now);
+        if now >= self.average.next() {
+            self.regroup(now);
+        }
         self.average.tick(now);
         self.expected_at = Some(self.next().max(now));
     }
@@ -157,7 +160,7 @@
         }
     }
 
-    /// The averaging's neighbours follow a change of the members.
+    /// The averaging's neighbours follow a change of the members: when its turn comes, and not with each datagram.
     fn regroup(&mut self, now: Micros) {
         if self.members.changed() {
             let ready = self.members.ready();
@@ -173,9 +176,7 @@
         self.now = now;
         let mut facts = self.members.directory().own().facts.clone();
         change(&mut facts);
-        let done = self.members.set_facts(now, facts);
-        self.regroup(now);
-        done
+        self.members.set_facts(now, facts)
     }
 
     /// Tells the fleet that this front end leaves; it takes part in nothing from here on.
@@ -192,13 +193,14 @@
         let mixed = self.settings.summaries && swim.mixed(now);
         if mixed {
             swim.publish(now, Summary { views: true, ..own });
+        } else {
+            swim.publish_no_more();
         }
         swim.spare(self.traffic.is_tight(now));
         if std::mem::take(&mut self.came) * FILLING > swim.alive() {
             (0..ASK_FILLING).for_each(|_| swim.ask_for_members(now, self.rng.random()));
         }
         self.ask_missing(now);
-        self.regroup(now);
         let swim = self.members.swim();
         self.pressure = if mixed { swim.pressure(now, own.pressure) } else { self.average.pressure() };
         let (alive, dropped) = (swim.alive(), swim.dropped);
--- a/wrenseam/src/fleet/repair.rs
+++ b/wrenseam/src/fleet/repair.rs
@@ -1,22 +1,22 @@
-//! Anti-entropy between two members: which buckets to compare, what the other's claims call for, and how often to
-//! ask. No I/O; docs/fleet-view.md weighs it against other ways.
-use super::directory::{bucket_bit, Claim, Directory, Liveness, Verdict, BUCKETS};
+//! Anti-entropy between two members: which parts of the views to compare, what the other's claims call for, and how
+//! often to ask. No I/O; docs/fleet-view.md weighs it against other ways.
+use super::directory::{short_hash, Claim, Directory, Liveness, Verdict, PARTS};
 use super::identity::PeerId;
 use super::message::MAX_BODY;
 use super::record::Stamp;
 use bramblepath::Micros;
 use rand::{rngs::SmallRng, RngExt};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// Bytes of a claim of an IPv6 member: the larger of the two.
+/// Hashes that fit a datagram.
+const HASHES_AT_MOST: usize = (MAX_BODY - 2) / 4;
+/// Bytes of a claim of an IPv6 member, the larger of the two.
 const CLAIM_BYTES: usize = 36;
-/// Claims that surely fit a datagram.
-const CLAIMS_AT_MOST: usize = (MAX_BODY - 9) / CLAIM_BYTES;
-/// Records that one answer sends: two to three datagrams of records as the program writes them.
-const RECORDS_AT_MOST: usize = 30;
-/// Members that a front end lacks in the buckets that it asks for at once, about: their records come in one answer.
-const LACKED_AT_MOST: usize = 24;
+/// The part of a datagram that unmatched hashes take at the most.
+const UNMATCHED_BYTES: usize = MAX_BODY / 3;
+/// Claims that surely fit a datagram, beside unmatched hashes.
+const CLAIMS_AT_MOST: usize = (MAX_BODY - UNMATCHED_BYTES - 3) / CLAIM_BYTES;
 
 /// What is to be done about somebody's claims.
 #[derive(Debug, Default, PartialEq, Eq)]
@@ -31,42 +31,25 @@
     pub restamps: Vec<Claim>,
     /// Members whose record is wanted.
     pub wanted: Vec<SocketAddr>,
-    /// What the other needs and a claim tells.
-    pub claims: Vec<Claim>,
-    /// Members whose record the other needs.
-    pub records: Vec<SocketAddr>,
+    /// What is held here and newer than what the other holds.
+    pub newer: Vec<Claim>,
     /// A stamp that our own has to be larger than.
     pub outbid: Option<Stamp>,
 }
 
-/// Compares somebody's claims with what is held. `asked`: the buckets that the claims are all of, if the other wants
-/// to be told what it lacks; else it is the answer to our own, and only what we lack is of interest.
-pub fn compare(directory: &Directory, claims: &[Claim], asked: Option<u64>) -> Findings {
+/// Compares somebody's claims with what is held here.
+pub fn compare(directory: &Directory, claims: &[Claim]) -> Findings {
     let mut found = Findings::default();
-    for claim in claims {
-        found.sort_in(directory, claim, asked.is_some());
-    }
-    if let Some(buckets) = asked {
-        let named: BTreeSet<SocketAddr> = claims.iter().map(|claim| claim.owner).collect();
-        let unnamed = directory.claims_in(buckets).filter(|mine| !named.contains(&mine.owner));
-        unnamed.filter(|mine| !mine.liveness.is_gone()).for_each(|mine| found.tell(&mine, None));
-        found.records.truncate(RECORDS_AT_MOST);
-        found.claims.truncate(CLAIMS_AT_MOST);
-    }
+    claims.iter().for_each(|claim| found.sort_in(directory, claim));
     found
 }
 
 impl Findings {
-    fn sort_in(&mut self, directory: &Directory, claim: &Claim, asked: bool) {
+    fn sort_in(&mut self, directory: &Directory, claim: &Claim) {
         let id = PeerId { addr: claim.owner, incarnation: claim.stamp.incarnation };
         match directory.weigh(claim) {
             Verdict::Same => {}
-            Verdict::Behind if asked => {
-                if let Some(mine) = directory.claim(claim.owner) {
-                    self.tell(&mine, Some(claim));
-                }
-            }
-            Verdict::Behind => {}
+            Verdict::Behind => self.newer.extend(directory.claim(claim.owner)),
             Verdict::Learn => {
                 self.learn.push(id);
                 if directory.has_content(claim) {
@@ -82,16 +65,6 @@
             Verdict::Outbid => self.outbid = self.outbid.max(Some(outbid(claim))),
         }
     }
-
-    /// Ours is newer than the other's: a claim will do where the other has the content, or there is none.
-    fn tell(&mut self, mine: &Claim, theirs: Option<&Claim>) {
-        let has_content = theirs.is_some_and(|theirs| theirs.checksum == mine.checksum);
-        if mine.liveness.is_gone() || mine.checksum == 0 || has_content {
-            self.claims.push(*mine);
-        } else {
-            self.records.push(mine.owner);
-        }
-    }
 }
 
 /// The stamp that the owner's next has to be larger than: for one held as gone, all of that incarnation.
@@ -100,42 +73,69 @@
     Stamp { version, ..claim.stamp }
 }
 
-/// The buckets in which two views differ.
-pub fn differing(mine: &[u32; BUCKETS], theirs: &[u32; BUCKETS]) -> u64 {
-    let bits = mine.iter().zip(theirs).enumerate().filter(|(_, (mine, theirs))| mine != theirs);
-    bits.fold(0, |set, (bucket, _)| set | 1 << bucket)
+/// The parts in which two views differ.
+pub fn differing(mine: &[u32; PARTS], theirs: &[u32; PARTS]) -> u16 {
+    let parts = mine.iter().zip(theirs).enumerate().filter(|(_, (mine, theirs))| mine != theirs);
+    parts.fold(0, |set, (part, _)| set | 1 << part)
 }
 
-/// So many of the differing buckets, from a random one on, that their claims fit a datagram and the records that may
-/// be lacking an answer; at least one. `known` is about how many members the larger view holds.
-pub fn choose(directory: &Directory, differing: u64, known: usize, rng: &mut SmallRng) -> u64 {
-    let start = rng.random_range(0..BUCKETS);
-    let (mut chosen, mut held, mut buckets) = (0u64, 0, 0);
-    for bucket in (0..BUCKETS).map(|i| (start + i) % BUCKETS) {
-        let bit = 1u64 << bucket;
+/// So many of the differing parts, from a random one on, that their hashes fit a datagram, at least one; and the hashes.
+pub fn hashes(directory: &Directory, differing: u16, rng: &mut SmallRng) -> (u16, Vec<u32>) {
+    let start = rng.random_range(0..PARTS);
+    let (mut chosen, mut hashes) = (0u16, Vec::new());
+    for part in (0..PARTS).map(|i| (start + i) % PARTS) {
+        let bit = 1u16 << part;
         if differing & bit == 0 {
             continue;
         }
-        let more = directory.claims_in(bit).count();
-        let lacked = (buckets + 1) * known / BUCKETS;
-        if chosen != 0 && (held + more > CLAIMS_AT_MOST || lacked > LACKED_AT_MOST + held + more) {
+        let more: Vec<u32> = directory.claims_in(bit).map(|claim| short_hash(&claim)).collect();
+        if chosen != 0 && hashes.len() + more.len() > HASHES_AT_MOST {
             break;
         }
         chosen |= bit;
-        held += more;
-        buckets += 1;
+        hashes.extend(more);
     }
-    chosen
+    hashes.truncate(HASHES_AT_MOST);
+    (chosen, hashes)
 }
 
-/// What is held in these buckets, as far as it fits a datagram.
-pub fn claims_for(directory: &Directory, buckets: u64) -> Vec<Claim> {
-    directory.claims_in(buckets).take(CLAIMS_AT_MOST).collect()
+/// What is held in these parts and is not among the other's hashes, and which of those are of nothing held here.
+pub fn mismatches(
+    directory: &Directory, parts: u16, theirs: &[u32], rng: &mut SmallRng,
+) -> (Vec<Claim>, Vec<u32>) {
+    let theirs_set: BTreeSet<u32> = theirs.iter().copied().collect();
+    let (matched, mut claims): (Vec<Claim>, Vec<Claim>) =
+        directory.claims_in(parts).partition(|claim| theirs_set.contains(&short_hash(claim)));
+    let matched: BTreeSet<u32> = matched.iter().map(short_hash).collect();
+    let mut unmatched: Vec<u32> = theirs_set.difference(&matched).copied().collect();
+    keep_some(&mut claims, CLAIMS_AT_MOST, rng);
+    keep_some(&mut unmatched, UNMATCHED_BYTES / 4, rng);
+    (claims, unmatched)
 }
 
-/// Whether a member's bucket is among these.
-pub fn covers(buckets: u64, addr: SocketAddr) -> bool {
-    buckets & bucket_bit(addr) != 0
+/// What is held of the members of these hashes, but for those that the other has named.
+pub fn claims_of(directory: &Directory, hashes: &[u32], named: &[Claim]) -> Vec<Claim> {
+    let named: BTreeSet<SocketAddr> = named.iter().map(|claim| claim.owner).collect();
+    let held: BTreeMap<u32, Claim> =
+        directory.claims_in(u16::MAX).map(|claim| (short_hash(&claim), claim)).collect();
+    let wanted = hashes.iter().filter_map(|hash| held.get(hash));
+    wanted.filter(|claim| !named.contains(&claim.owner)).copied().collect()
+}
+
+/// Claims in parts that each fit a datagram.
+pub fn in_datagrams(claims: &[Claim]) -> impl Iterator<Item = Vec<Claim>> + '_ {
+    claims.chunks(CLAIMS_AT_MOST).map(<[Claim]>::to_vec)
+}
+
+/// Keeps so many at random: what is left out is found by the next repair, and not by all the same.
+fn keep_some<T>(items: &mut Vec<T>, most: usize, rng: &mut SmallRng) {
+    if items.len() > most {
+        for i in 0..most {
+            let other = rng.random_range(i..items.len());
+            items.swap(i, other);
+        }
+        items.truncate(most);
+    }
 }
 
 /// When the next repair is begun: each probe period while views agree, four times as often while they differ.
--- a/wrenseam/src/fleet/swim.rs
+++ b/wrenseam/src/fleet/swim.rs
@@ -21,6 +21,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+/// News of members on a probe or an acknowledgement at the most, where summaries are not wanted.
+const NEWS_ON_PROBES: u16 = 24;
+
 /// The settings of membership, in microseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct SwimSettings {
@@ -130,6 +133,8 @@
     changed: bool,
     /// Foca holds that the others declared us down.
     defunct: bool,
+    /// Whether probes carry all that foca puts on them: summaries, for front ends that want them.
+    untrimmed: bool,
     detector: Detector,
     header: [u8; HEADER_BYTES],
 }
@@ -185,17 +190,19 @@
     fn send_to(&mut self, to: PeerId, data: &[u8]) {
         let message = read_header(data).map(|header| header.message);
         if let Some(Message::Ping(number)) = message {
-            self.detector.probe_began(self.now, to, number);
+            self.detector.probe_began(self.now, number);
         }
         let kind = match message {
-            Some(Message::Gossip | Message::Feed | Message::Announce | Message::Broadcast) => {
-                TrafficKind::Membership
-            }
+            Some(Message::Feed | Message::Announce) => TrafficKind::Join,
+            Some(Message::Gossip | Message::Broadcast) => TrafficKind::News,
             _ => TrafficKind::Probe,
         };
         let mut bytes = Vec::with_capacity(HEADER_BYTES + data.len());
         bytes.extend_from_slice(&self.header);
-        bytes.extend_from_slice(data);
+        match trimmed(data).filter(|_| kind == TrafficKind::Probe && !self.untrimmed) {
+            Some(trimmed) => bytes.extend(trimmed),
+            None => bytes.extend_from_slice(data),
+        }
         self.out.push(Outgoing { to: to.addr, kind, bytes });
     }
 
@@ -213,6 +220,25 @@
     }
 }
 
+/// A probe or an acknowledgement of foca's with [`NEWS_ON_PROBES`] news of members at the most, if it has more:
+/// they are never held back, and with all the news that fit each would take a tenth of the budget of a second.
+fn trimmed(data: &[u8]) -> Option<Vec<u8>> {
+    let mut rest = data;
+    PostcardCodec.decode_header(&mut rest).map(|_: Header<PeerId>| ()).ok()?;
+    let header = data.len() - rest.len();
+    let (count, mut rest) = rest.split_first_chunk::<2>()?;
+    if u16::from_be_bytes(*count) <= NEWS_ON_PROBES {
+        return None;
+    }
+    for _ in 0..NEWS_ON_PROBES {
+        PostcardCodec.decode_member(&mut rest).map(|_: Member<PeerId>| ()).ok()?;
+    }
+    let mut bytes = data[..header].to_vec();
+    bytes.extend(NEWS_ON_PROBES.to_be_bytes());
+    bytes.extend(&data[header + 2..data.len() - rest.len()]);
+    Some(bytes)
+}
+
 /// The header of a datagram of foca's, without ours before it.
 fn read_header(mut data: &[u8]) -> Option<Header<PeerId>> {
     PostcardCodec.decode_header(&mut data).ok()
@@ -269,7 +295,9 @@
         let held = Arc::new(Mutex::new((Summaries::new(settings.capacity, settings.fresh_for), 0)));
         let own = PeerId { addr: own, incarnation: incarnation.min(MAX_INCARNATION) };
         let foca = start(own, &config, seed, &held);
-        let outside = Outside { header: header(SWIM_VERSION, settings.cluster), ..Outside::default() };
+        let detector = Detector::new(settings.probe, settings.suspect_for);
+        let outside =
+            Outside { header: header(SWIM_VERSION, settings.cluster), detector, ..Outside::default() };
         Swim {
             foca,
             outside,
@@ -342,11 +370,14 @@
         }
     }
 
-    /// Tells that this front end leaves; from here on it takes part in nothing.
-    pub fn leave(&mut self, now: Micros) {
+    /// This front end leaves, and from here on takes part in nothing. `tell`: by foca's own word too, which says no
+    /// more than that it is down.
+    pub fn leave(&mut self, now: Micros, tell: bool) {
         self.at(now);
         self.leaving = true;
-        let _ = self.foca.leave_cluster(&mut self.outside); // it can only fail to encode ourselves
+        if tell {
+            let _ = self.foca.leave_cluster(&mut self.outside); // it can only fail to encode ourselves
+        }
     }
 
     /// Takes up that `id` is alive, or is gone, as somebody else knows; `spread`: passes it on as news.
@@ -414,7 +445,7 @@
         if let Some(Message::Ack(number) | Message::ForwardedAck { probe_number: number, .. }) =
             header.as_ref().map(|header| &header.message)
         {
-            self.outside.detector.acknowledged(*number);
+            self.outside.detector.acknowledged(now, *number);
         }
         if self.foca.handle_data(data, &mut self.outside).is_err() {
             self.dropped.garbled += 1;
@@ -455,11 +486,11 @@
         while self.next().is_some_and(|due| due <= now) {
             let Some(Reverse((_, _, TimerSlot(timer)))) = self.outside.timers.pop() else { break };
             if let Timer::ChangeSuspectToDown { member_id, .. } = &timer {
-                match self.outside.detector.sentence(*member_id) {
+                match self.outside.detector.sentence(now, *member_id) {
                     Sentence::Down => {}
                     Sentence::Dropped => continue,
                     Sentence::Postponed => {
-                        let due = self.outside.running() + self.settings.probe;
+                        let due = self.outside.running() + self.settings.probe / 2;
                         self.outside.set(timer, due);
                         continue;
                     }
@@ -469,9 +500,15 @@
         }
     }
 
+    /// No summary is wanted any more.
+    pub fn publish_no_more(&mut self) {
+        self.outside.untrimmed = false;
+    }
+
     /// Hands this front end's summary to be gossiped, with the next sequence number.
     pub fn publish(&mut self, now: Micros, mut summary: Summary) {
         self.at(now);
+        self.outside.untrimmed = true;
         self.published += 1;
         summary.origin = Some(self.own.addr);
         summary.seq = self.published;
--- a/wrenseam/src/fleet/traffic.rs
+++ b/wrenseam/src/fleet/traffic.rs
@@ -14,22 +14,29 @@
     Probe,
     /// Exchanges of the averaging: of bounded number, always sent.
     Average,
-    /// Joins, lists of members, and news of them.
-    Membership,
+    /// Joins, and the lists of members that answer them.
+    Join,
+    /// What a repair between two members calls for, once begun: it sends nobody what it has, and so goes before what
+    /// does.
+    Repair,
+    /// The first two steps of a repair: none is begun that could not be ended.
+    RepairBegin,
     /// Records that have just changed.
     Rumor,
-    /// Anti-entropy between two members.
-    Repair,
+    /// SWIM's news of members, to some at random.
+    News,
 }
 
 impl TrafficKind {
     /// All kinds, in the order of [`Traffic::sent`].
-    pub const ALL: [TrafficKind; 5] = [
+    pub const ALL: [TrafficKind; 7] = [
         TrafficKind::Probe,
         TrafficKind::Average,
-        TrafficKind::Membership,
-        TrafficKind::Rumor,
+        TrafficKind::Join,
         TrafficKind::Repair,
+        TrafficKind::RepairBegin,
+        TrafficKind::Rumor,
+        TrafficKind::News,
     ];
 
     /// Its name in telemetry.
@@ -37,9 +44,11 @@
         match self {
             TrafficKind::Probe => "probe",
             TrafficKind::Average => "average",
-            TrafficKind::Membership => "membership",
-            TrafficKind::Rumor => "rumor",
+            TrafficKind::Join => "join",
             TrafficKind::Repair => "repair",
+            TrafficKind::RepairBegin => "repair_begin",
+            TrafficKind::Rumor => "rumor",
+            TrafficKind::News => "news",
         }
     }
 
@@ -47,9 +56,11 @@
     fn reserve(self) -> Option<i64> {
         match self {
             TrafficKind::Probe | TrafficKind::Average => None,
-            TrafficKind::Membership => Some(0),
-            TrafficKind::Rumor => Some(BURST / 8),
-            TrafficKind::Repair => Some(BURST / 4),
+            TrafficKind::Repair => Some(-RATE / 2),
+            TrafficKind::Join => Some(0),
+            TrafficKind::RepairBegin => Some(BURST / 8),
+            TrafficKind::Rumor => Some(BURST / 4),
+            TrafficKind::News => Some(BURST / 4),
         }
     }
 }
