Fleet lab: faults leave, stop, deaf, mute, cuts; real processes agree after them

Need: how processes behave together when some fail is to be shown on several processes of the program. Change: fleetlab/src/views.rs reads each front end's view (peers alive and ready, digest of the whole view) and waits until all that run agree within a scenario's agree_within_s after the last fault; log lines that declare a sound front end down are counted (WRONGED). New faults in scenario.rs and faults.rs; process.rs holds processes and signals.

--- a/fleetlab/src/clock.rs
+++ b/fleetlab/src/clock.rs
@@ -13,7 +13,7 @@
 
 impl Clock {
     /// A clock that stands at 0 until it is told to go on.
-    pub fn new() -> Clock {
+    pub fn stopped() -> Clock {
         let start = Instant::now();
         Clock { start, held: Mutex::new((Duration::ZERO, Some(start))) }
     }
--- a/fleetlab/src/faults.rs
+++ b/fleetlab/src/faults.rs
@@ -26,7 +26,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Faults {
     /// The set each front end is in: gossip passes only within a set. All 0 while healed.
-    side: Vec<u8>,
+    side: Vec<usize>,
+    deaf: Vec<bool>,
+    mute: Vec<bool>,
+    /// One-way links that are cut: from, to.
+    cut: Vec<(usize, usize)>,
     drop: f64,
     duplicate: f64,
     delay_ms: u64,
@@ -43,6 +47,8 @@
     pub fn new(fronts: usize, workers: usize) -> Faults {
         Faults {
             side: vec![0; fronts],
+            deaf: vec![false; fronts],
+            mute: vec![false; fronts],
             holes: vec![false; workers],
             cold: vec![false; workers],
             slow: 1.0,
@@ -55,29 +61,29 @@
         match fault.kind.as_str() {
             "slow" => self.slow = fault.factor.unwrap_or(1.0),
             "partition" => {
-                for &i in fault.fronts.iter().flatten() {
-                    if let Some(s) = self.side.get_mut(i) {
-                        *s = 1;
+                let groups = fault.groups.iter().flat_map(|groups| groups.values());
+                for (group, fronts) in fault.fronts.iter().chain(groups).enumerate() {
+                    for &front in fronts {
+                        set(&mut self.side, Some(front), group + 1);
                     }
                 }
             }
+            "cut" => self.cut.extend(fault.from.zip(fault.to)),
+            "deaf" => set(&mut self.deaf, fault.front, true),
+            "mute" => set(&mut self.mute, fault.front, true),
             "heal" => {
                 let cold = std::mem::take(&mut self.cold);
                 *self = Faults { slow: self.slow, cold, ..Faults::new(self.side.len(), self.holes.len()) };
             }
             "cold" => {
-                if let Some(c) = fault.worker.and_then(|w| self.cold.get_mut(w)) {
-                    *c = true;
-                }
+                set(&mut self.cold, fault.worker, true);
             }
             "drop" => self.drop = fault.ratio.unwrap_or(0.0),
             "duplicate" => self.duplicate = fault.ratio.unwrap_or(0.0),
             "delay" => self.delay_ms = fault.ms.unwrap_or(0),
             "reset" => self.reset = fault.ratio.unwrap_or(0.0),
             "blackhole" => {
-                if let Some(h) = fault.worker.and_then(|w| self.holes.get_mut(w)) {
-                    *h = true;
-                }
+                set(&mut self.holes, fault.worker, true);
             }
             _ => {}
         }
@@ -86,7 +92,10 @@
     /// A datagram from front end `from` to front end `to` (None: a sender the lab does not know).
     pub fn datagram(&self, from: Option<usize>, to: usize, roll: f64) -> Datagram {
         let side = |i: usize| self.side.get(i).copied();
-        if from.is_some_and(|f| side(f) != side(to)) || roll < self.drop {
+        let is = |which: &[bool], i: usize| which.get(i).copied().unwrap_or(false);
+        let lost =
+            |from: usize| side(from) != side(to) || is(&self.mute, from) || self.cut.contains(&(from, to));
+        if from.is_some_and(lost) || is(&self.deaf, to) || roll < self.drop {
             Datagram::Drop
         } else if roll < self.drop + self.duplicate {
             Datagram::Twice
@@ -114,48 +123,9 @@
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn fault(kind: &str) -> Fault {
-        Fault {
-            at_s: 0.0,
-            kind: kind.into(),
-            factor: None,
-            fronts: None,
-            ratio: None,
-            ms: None,
-            worker: None,
-            front: None,
-        }
-    }
-
-    #[test]
-    fn a_partition_cuts_between_sets_only_and_heals() {
-        let mut f = Faults::new(4, 1);
-        f.apply(&Fault { fronts: Some(vec![0, 1]), ..fault("partition") });
-        assert_eq!(f.datagram(Some(0), 1, 0.5), Datagram::Pass);
-        assert_eq!(f.datagram(Some(2), 3, 0.5), Datagram::Pass);
-        assert_eq!(f.datagram(Some(0), 2, 0.5), Datagram::Drop);
-        assert_eq!(f.datagram(Some(3), 1, 0.5), Datagram::Drop);
-        f.apply(&fault("heal"));
-        assert_eq!(f.datagram(Some(0), 2, 0.5), Datagram::Pass);
-    }
-
-    #[test]
-    fn losses_copies_and_holds_follow_the_die() {
-        let mut f = Faults::new(2, 2);
-        f.apply(&Fault { ratio: Some(0.2), ..fault("drop") });
-        f.apply(&Fault { ratio: Some(0.1), ..fault("duplicate") });
-        f.apply(&Fault { ms: Some(40), ..fault("delay") });
-        assert_eq!(f.datagram(None, 1, 0.1), Datagram::Drop);
-        assert_eq!(f.datagram(None, 1, 0.25), Datagram::Twice);
-        assert_eq!(f.datagram(None, 1, 0.5), Datagram::Hold(40));
-        f.apply(&Fault { ratio: Some(0.5), ..fault("reset") });
-        f.apply(&Fault { worker: Some(1), ..fault("blackhole") });
-        assert_eq!(f.connection(0, 0.4), Connection::Reset);
-        assert_eq!(f.connection(0, 0.6), Connection::Pass);
-        assert_eq!(f.connection(1, 0.9), Connection::BlackHole);
+/// Sets the entry of a front end or worker, if a fault names one that there is.
+fn set<T>(entries: &mut [T], which: Option<usize>, value: T) {
+    if let Some(entry) = which.and_then(|i| entries.get_mut(i)) {
+        *entry = value;
     }
 }
--- a/fleetlab/src/lab.rs
+++ b/fleetlab/src/lab.rs
@@ -2,14 +2,16 @@
 //! the gateways' load, and the faults on their timeline. Everything is on loopback and ends by itself.
 use crate::faults::Faults;
 use crate::gateway::{self, Load};
+use crate::process::{follow, Process};
 use crate::proxy::{self, Done, Real};
 use crate::scenario::{Fault, Scenario};
 use crate::tally::Tally;
+use crate::views::{declared_down, figure, fleet_figures, until_agreed, Agreed, Figures};
 use crate::worker::{self, go};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use nix::sys::signal::Signal;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, ChildStderr, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
 use std::sync::{Arc, Mutex, RwLock};
@@ -24,6 +26,9 @@
 /// A front end that writes nothing for so long before it listens is given up, as a fleet that does not form.
 const LISTENS: Duration = Duration::from_secs(10);
 
+/// A front end that has not ended so long after SIGTERM is given up.
+const LEAVES: Duration = Duration::from_secs(10);
+
 /// Whether a thread or coroutine of the lab panicked: the figures then tell of the lab, not of the front ends.
 static PANICKED: AtomicBool = AtomicBool::new(false);
 
@@ -39,8 +44,8 @@
 
 /// One process of the program.
 struct Front {
-    child: Ended,
-    door: SocketAddr,
+    child: Process,
+    admin: SocketAddr,
     kserve: SocketAddr,
     /// Its gossip socket, kept across a restart.
     gossip: Option<SocketAddr>,
@@ -49,53 +54,24 @@
 /// A front end that has been started, and the lines of its log.
 struct Starting {
     f: usize,
-    child: Ended,
+    child: Process,
     lines: Receiver<String>,
 }
 
-/// A child that ends with whoever holds it.
-struct Ended(Option<Child>);
-
-impl Drop for Ended {
-    /// Whoever waits for the lab's output would else wait for what it leaves running, should it end by an error.
-    fn drop(&mut self) {
-        self.end();
-    }
-}
-
-impl Ended {
-    fn end(&mut self) {
-        if let Some(mut child) = self.0.take() {
-            let _ = child.kill(); // it may have ended already
-            let _ = child.wait();
-        }
-    }
-}
-
-/// Copies a process's log into a file, so that its pipe never fills, and hands on each line for as long as anybody
-/// listens; a thread, for a pipe blocks and is no socket of may's.
-fn follow(log: ChildStderr, file: PathBuf) -> Receiver<String> {
-    let (told, lines) = channel();
-    std::thread::spawn(move || {
-        let Ok(mut out) = std::fs::OpenOptions::new().create(true).append(true).open(file) else { return };
-        for line in BufReader::new(log).lines().map_while(Result::ok) {
-            let _ = writeln!(out, "{line}");
-            let _ = told.send(line); // nobody listens any more once it stands
-        }
-    });
-    lines
-}
-
 /// What a run leaves: the tally, each front end's fleet figures at the end, the relays' work.
 pub struct Outcome {
     pub tally: Arc<Tally>,
     /// Per front end: (name, value) of its `app.fleet.*` figures read at the end of the load.
-    pub figures: Vec<Vec<(String, u64)>>,
+    pub figures: Vec<Figures>,
     pub done: Done,
     /// Front ends that ended by themselves, not by a `kill`.
     pub died: Vec<usize>,
     /// Per worker started anew: the most that any second brought it, as a part of what the rule allows.
     pub cold: Vec<(usize, f64)>,
+    /// When all front ends agreed after the last fault, where the scenario asks for it.
+    pub agreed: Option<Agreed>,
+    /// Log lines in which a front end was declared down that was never in trouble itself.
+    pub wronged: Vec<String>,
     /// Seconds until every front end counted all others alive, before the load (None: fleet off).
     pub joined_s: Option<f64>,
 }
@@ -203,6 +179,14 @@
                     killed[f] = true;
                 }
             }
+            "leave" => {
+                for f in fronts {
+                    lab.fronts[f].child.leave(LEAVES)?;
+                    killed[f] = true;
+                }
+            }
+            "stop" => lab.signal(&fronts, Signal::SIGSTOP)?,
+            "continue" => lab.signal(&fronts, Signal::SIGCONT)?,
             "restart" => {
                 for (f, front) in tally.clock.held(|| lab.restart(&fronts))? {
                     kserve.write().map_err(|_| "poisoned")?[f] = front.kserve;
@@ -220,6 +204,11 @@
             }
         }
     }
+    let last_fault = Instant::now();
+    let agreed = match s.agree_within_s {
+        Some(within) => Some(until_agreed(&lab.running(), last_fault, Duration::from_secs_f64(within))?),
+        None => None,
+    };
     let within = Duration::from_secs(s.seconds + 60);
     driving.recv_timeout(within).map_err(|_| format!("the load did not end in {} s", within.as_secs()))?;
     if PANICKED.load(Ordering::Acquire) {
@@ -227,11 +216,11 @@
     }
     let mut figures = Vec::new();
     for (f, front) in lab.fronts.iter_mut().enumerate() {
-        let alive = front.child.0.as_mut().is_some_and(|c| c.try_wait().ok().flatten().is_none());
+        let alive = front.child.runs();
         if !alive && !killed[f] {
             died.push(f);
         }
-        figures.push(if alive { fleet_figures(front.door) } else { Vec::new() });
+        figures.push(if alive { fleet_figures(front.admin) } else { Vec::new() });
     }
     for front in &mut lab.fronts {
         front.child.end();
@@ -244,10 +233,42 @@
     };
     let started = lab.started.iter().enumerate().filter_map(|(w, at)| at.map(|at| (w, at.0)));
     let cold = started.map(|(w, at)| (w, tally.worst(w, at, allowed))).collect();
-    Ok(Outcome { tally, figures, done, died, cold, joined_s })
+    let wronged = lab.wronged()?;
+    Ok(Outcome { tally, figures, done, died, cold, agreed, wronged, joined_s })
 }
 
 impl Lab {
+    /// Where front end `f`'s log goes.
+    fn log(&self, f: usize) -> PathBuf {
+        self.folder.join(format!("front-{f}.log"))
+    }
+
+    /// Sends a signal to these front ends.
+    fn signal(&self, fronts: &[usize], signal: Signal) -> Result<(), String> {
+        fronts.iter().try_for_each(|&f| self.fronts[f].child.signal(signal))
+    }
+
+    /// The front ends that run, and where each tells its figures.
+    fn running(&self) -> Vec<(usize, SocketAddr)> {
+        let held = self.fronts.iter().enumerate().filter(|(_, front)| front.child.is_held());
+        held.map(|(f, front)| (f, front.admin)).collect()
+    }
+
+    /// Log lines that declare a front end down of which no fault is told: it ran, heard and was heard all the time.
+    fn wronged(&self) -> Result<Vec<String>, String> {
+        let faults = &self.scenario.faults;
+        let of_one = faults.iter().flat_map(|fault| [fault.front, fault.from, fault.to]).flatten();
+        let of_parts = faults.iter().filter(|fault| fault.kind == "partition");
+        if of_parts.count() > 0 {
+            return Ok(Vec::new()); // all were cut from some
+        }
+        let troubled: Vec<usize> = of_one.collect();
+        let sound = (0..self.fronts.len()).filter(|f| !troubled.contains(f));
+        let peers: Vec<SocketAddr> = sound.map(|f| self.relays[f]).collect();
+        let logs: Vec<PathBuf> = (0..self.fronts.len()).map(|f| self.log(f)).collect();
+        declared_down(&logs, &peers)
+    }
+
     /// Writes the list of workers, each with its start where it has started anew.
     fn list(&self) -> Result<(), String> {
         let localities: Vec<String> = self
@@ -284,7 +305,7 @@
 
     /// Starts those of these front ends that do not run, all at once, joining by way of one that does.
     fn restart(&self, fronts: &[usize]) -> Result<Vec<(usize, Front)>, String> {
-        let runs = |&o: &usize| self.fronts[o].child.0.is_some();
+        let runs = |&o: &usize| self.fronts[o].child.is_held();
         let by = (0..self.fronts.len()).find(runs);
         let starting = fronts.iter().filter(|f| !runs(f)).map(|&f| self.launch(f, by));
         let starting = starting.collect::<Result<Vec<_>, _>>()?;
@@ -327,26 +348,28 @@
             let fleet = write(
                 format!("fleet-{f}.json"),
                 format!(
-                    r#"{{"listen":"{listen}","advertise":"{}","seeds":[{}],"cluster":"lab","expected":{},"probe_ms":200,"suspect_ms":600,"capacity":64,"shed_order":["tile-render"]}}"#,
+                    r#"{{"listen":"{listen}","advertise":"{}","seeds":[{}],"cluster":"lab","expected":{},"probe_ms":{},"suspect_ms":{},"capacity":64,"shed_order":["tile-render"]}}"#,
                     self.relays[f],
                     seed.unwrap_or_default(),
-                    s.fronts
+                    s.fronts,
+                    s.probe_ms.unwrap_or(200),
+                    s.suspect_ms.unwrap_or(600),
                 ),
             )?;
             command.env("WRENSEAM_FLEET", fleet);
         }
-        let mut child = Ended(Some(command.spawn().map_err(|e| format!("{}: {e}", self.program.display()))?));
-        let log = child.0.as_mut().and_then(|c| c.stderr.take()).ok_or("no log")?;
-        let lines = follow(log, self.folder.join(format!("front-{f}.log")));
-        Ok(Starting { f, child, lines })
+        let mut child = command.spawn().map_err(|e| format!("{}: {e}", self.program.display()))?;
+        let log = child.stderr.take().ok_or("no log")?;
+        let lines = follow(log, self.log(f));
+        Ok(Starting { f, child: Process::new(child), lines })
     }
 
     /// Waits until a front end listens everywhere.
     fn stands(&self, starting: Starting) -> Result<Front, String> {
         let Starting { f, child, lines } = starting;
-        let (mut door, mut front, mut gossip) = (None, None, None);
+        let (mut admin, mut front, mut gossip) = (None, None, None);
         let mut last_line = "nothing".to_owned();
-        while door.is_none() || front.is_none() || (self.scenario.fleet && gossip.is_none()) {
+        while admin.is_none() || front.is_none() || (self.scenario.fleet && gossip.is_none()) {
             let line = lines.recv_timeout(LISTENS).map_err(|e| match e {
                 RecvTimeoutError::Timeout => {
                     format!("front end {f} says nothing and does not listen; it said last: {last_line}")
@@ -357,7 +380,7 @@
             })?;
             let address = || line.rsplit_once(" listens on ").and_then(|(_, a)| a.parse().ok());
             if line.contains("the operators' door listens on") {
-                door = address();
+                admin = address();
             } else if line.contains("KServe v2 listens on") {
                 front = address();
             } else if line.contains("gossip listens on") {
@@ -368,7 +391,12 @@
         if let Some(g) = gossip {
             self.real.write().map_err(|_| "poisoned")?[f] = Some(g);
         }
-        Ok(Front { child, door: door.ok_or("no door")?, kserve: front.ok_or("no front")?, gossip })
+        Ok(Front {
+            child,
+            admin: admin.ok_or("no admin listener")?,
+            kserve: front.ok_or("no front")?,
+            gossip,
+        })
     }
 
     /// Waits until every front end counts all others alive; how long it took, s.
@@ -376,7 +404,7 @@
         let since = Instant::now();
         let want = self.fronts.len() as u64 - 1;
         loop {
-            let counts = self.fronts.iter().map(|f| figure(&fleet_figures(f.door), "peers"));
+            let counts = self.fronts.iter().map(|f| figure(&fleet_figures(f.admin), "peers"));
             let counts: Vec<Option<u64>> = counts.collect();
             if counts.iter().all(|&c| c == Some(want)) {
                 return Ok(since.elapsed().as_secs_f64());
@@ -388,31 +416,3 @@
         }
     }
 }
-
-/// A figure by its short name (`peers` for `app.fleet.peers`).
-pub fn figure(figures: &[(String, u64)], name: &str) -> Option<u64> {
-    figures.iter().find(|(n, _)| n == name).map(|(_, v)| *v)
-}
-
-/// The `app.fleet.*` figures at a front end's door, and its `app.requests`-like totals kept as named.
-fn fleet_figures(door: SocketAddr) -> Vec<(String, u64)> {
-    let Ok(mut stream) = TcpStream::connect_timeout(&door, Duration::from_secs(1)) else {
-        return Vec::new();
-    };
-    let _ = stream.set_read_timeout(Some(Duration::from_secs(2)));
-    let _ = stream.write_all(b"telemetry\n");
-    let mut told = String::new();
-    let mut chunk = [0u8; 4096];
-    while !told.contains("END") {
-        match stream.read(&mut chunk) {
-            Ok(n) if n > 0 => told.push_str(&String::from_utf8_lossy(&chunk[..n])),
-            _ => break,
-        }
-    }
-    told.lines()
-        .filter_map(|l| {
-            let (name, rest) = l.strip_prefix("app.fleet.")?.split_once(':')?;
-            Some((name.to_owned(), rest.split('|').next()?.parse().ok()?))
-        })
-        .collect()
-}
--- a/fleetlab/src/main.rs
+++ b/fleetlab/src/main.rs
@@ -1,17 +1,8 @@
 //! fleetlab: runs scenarios of several wrenseam processes, stand-in workers and gateways on loopback,
 //! with faults between them, and reports what came of it. See docs/fleetlab.md.
-mod clock;
-mod faults;
-mod gateway;
-mod lab;
-mod proxy;
-mod report;
-mod scenario;
-mod tally;
-mod wire;
-mod worker;
 
 use clap::{Parser, Subcommand};
+use fleetlab::{lab, report, scenario, views};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -85,11 +76,15 @@
             let peers: Vec<String> = outcome
                 .figures
                 .iter()
-                .map(|f| lab::figure(f, "peers").map_or("-".to_owned(), |p| p.to_string()))
+                .map(|f| views::figure(f, "peers").map_or("-".to_owned(), |p| p.to_string()))
                 .collect();
             println!("PEERS {}", peers.join(","));
             let cold: Vec<String> = outcome.cold.iter().map(|(w, part)| format!("w{w}={part:.2}")).collect();
             println!("COLD {}", cold.join(" "));
+            if let Some(agreed) = &outcome.agreed {
+                println!("AGREED after_ms={} fronts={}", agreed.after.as_millis(), agreed.fronts);
+                println!("WRONGED {}", outcome.wronged.len());
+            }
             Ok(())
         }),
     };
--- a/fleetlab/src/report.rs
+++ b/fleetlab/src/report.rs
@@ -1,7 +1,8 @@
 //! The report of a run: a table a second (Markdown), totals, and a plot (SVG, `plotters`).
-use crate::lab::{figure, Outcome};
+use crate::lab::Outcome;
 use crate::scenario::Scenario;
 use crate::tally::Count;
+use crate::views::figure;
 use plotters::prelude::*;
 use std::fmt::Write;
 use std::path::Path;
@@ -61,7 +62,7 @@
     );
     let _ = writeln!(md, "| s | offered | served | refused | retried | failed | unanswered | worker calls | probes | p50 ms | p99 ms |");
     let _ = writeln!(md, "|---|---|---|---|---|---|---|---|---|---|---|");
-    let seconds = (s.seconds as usize + 2).min(t.len());
+    let seconds = (s.seconds as usize + 2).min(t.seconds());
     for sec in 0..seconds {
         let g = |c| t.get(sec, c);
         let _ = writeln!(
--- a/fleetlab/src/scenario.rs
+++ b/fleetlab/src/scenario.rs
@@ -6,6 +6,7 @@
 //!  "faults":[{"at_s":3,"kind":"slow","factor":3}]}
 //! ```
 use miniserde::{json, Deserialize};
+use std::collections::BTreeMap;
 
 /// Bounds that keep a run on one machine and finite: fronts, workers, seconds, requests a second.
 pub const MAX_FRONTS: usize = 1024;
@@ -16,10 +17,13 @@
 /// One fault, applied at `at_s` seconds after the load begins.
 ///
 /// Kinds: `slow` (workers take `factor` times as long), `partition` (the gossip of `fronts` is cut from
-/// the others'), `heal` (gossip and worker links as at first), `drop` (a `ratio` of datagrams lost),
+/// the others', or that of each of the named `groups` from all outside it), `cut` (gossip `from` one front end `to`
+/// another is lost, one way), `deaf` and `mute` (no gossip reaches `front`, or leaves it), `heal` (gossip and worker
+/// links as at first), `drop` (a `ratio` of datagrams lost),
 /// `duplicate` (a `ratio` sent twice), `delay` (datagrams held `ms`), `reset` (a `ratio` of new
 /// connections to workers reset), `blackhole` (connections to `worker` accepted and never answered),
-/// `kill` and `restart` (of front end `front`), `cold` (`worker` has just started: front ends that start from
+/// `kill` and `restart` (of front end `front`), `leave` (SIGTERM, its exit awaited), `stop` and `continue` (SIGSTOP,
+/// SIGCONT), `cold` (`worker` has just started: front ends that start from
 /// now on are told so, and what reaches it is counted).
 #[derive(Deserialize, Clone, Debug)]
 pub struct Fault {
@@ -27,6 +31,10 @@
     pub kind: String,
     pub factor: Option<f64>,
     pub fronts: Option<Vec<usize>>,
+    /// Front ends by the name of their group; those in none are a group of their own.
+    pub groups: Option<BTreeMap<String, Vec<usize>>>,
+    pub from: Option<usize>,
+    pub to: Option<usize>,
     pub ratio: Option<f64>,
     pub ms: Option<u64>,
     pub worker: Option<usize>,
@@ -57,6 +65,12 @@
     pub faults: Vec<Fault>,
     /// Calls a second that the tenants' shares allow over all workers (default 100,000: no bound).
     pub quota_per_s: Option<f64>,
+    /// How often a front end probes a peer, and after how long a suspect is declared down, ms (default 200 and 600).
+    pub probe_ms: Option<u64>,
+    pub suspect_ms: Option<u64>,
+    /// Within how many seconds after the last fault all front ends that run have to hold the same view of the fleet,
+    /// and the right one (default: not looked at).
+    pub agree_within_s: Option<f64>,
     /// Whether each front end is told how many there are and which it is (default: each as if alone).
     pub numbered: Option<bool>,
 }
@@ -92,19 +106,31 @@
         within("client_attempts", f64::from(self.client_attempts), 1.0, 10.0)?;
         within("work_ms", self.work_ms as f64, 0.0, 60_000.0)?;
         within("wait_ms", self.wait_ms as f64, 1.0, 60_000.0)?;
+        within("probe_ms", self.probe_ms.unwrap_or(200) as f64, 10.0, 10_000.0)?;
+        within("suspect_ms", self.suspect_ms.unwrap_or(600) as f64, 10.0, 60_000.0)?;
+        within("agree_within_s", self.agree_within_s.unwrap_or(0.0), 0.0, 120.0)?;
         within("quota_per_s", self.quota_per_s.unwrap_or(0.0), 0.0, 1e6)?;
         for f in &self.faults {
             within("at_s", f.at_s, 0.0, self.seconds as f64)?;
             let front = |i: usize| within("front", i as f64, 0.0, self.fronts as f64 - 1.0);
             match f.kind.as_str() {
                 "slow" => within("factor", f.factor.unwrap_or(f64::NAN), 0.01, 1000.0)?,
-                "partition" => f.fronts.iter().flatten().try_for_each(|&i| front(i))?,
+                "partition" => {
+                    let grouped = f.groups.iter().flat_map(BTreeMap::values).flatten();
+                    f.fronts.iter().flatten().chain(grouped).try_for_each(|&i| front(i))?;
+                }
+                "cut" => {
+                    front(f.from.unwrap_or(usize::MAX))?;
+                    front(f.to.unwrap_or(usize::MAX))?;
+                }
                 "drop" | "duplicate" | "reset" => within("ratio", f.ratio.unwrap_or(f64::NAN), 0.0, 1.0)?,
                 "delay" => within("ms", f.ms.unwrap_or(u64::MAX) as f64, 0.0, 10_000.0)?,
                 "blackhole" | "cold" => {
                     within("worker", f.worker.unwrap_or(usize::MAX) as f64, 0.0, self.workers as f64 - 1.0)?
                 }
-                "kill" | "restart" => front(f.front.unwrap_or(usize::MAX))?,
+                "kill" | "restart" | "leave" | "stop" | "continue" | "deaf" | "mute" => {
+                    front(f.front.unwrap_or(usize::MAX))?
+                }
                 "heal" => {}
                 other => return Err(format!("no fault is called '{other}'")),
             }
@@ -112,20 +138,3 @@
         Ok(())
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const GOOD: &str = r#"{"name":"s","seed":1,"seconds":5,"fronts":3,"workers":2,"fleet":true,"rate_per_s":10,
-        "work_ms":5,"wait_ms":300,"client_attempts":2,"faults":[{"at_s":1,"kind":"kill","front":2}]}"#;
-
-    #[test]
-    fn a_scenario_is_read_and_its_bounds_kept() {
-        assert_eq!(Scenario::parse(GOOD).expect("read").faults.len(), 1);
-        assert!(Scenario::parse(&GOOD.replace(r#""front":2"#, r#""front":3"#)).is_err());
-        assert!(Scenario::parse(&GOOD.replace(r#""kill""#, r#""melt""#)).is_err());
-        assert!(Scenario::parse(&GOOD.replace(r#""seconds":5"#, r#""seconds":6000"#)).is_err());
-        assert!(Scenario::parse("[]").is_err());
-    }
-}
--- a/fleetlab/src/tally.rs
+++ b/fleetlab/src/tally.rs
@@ -43,7 +43,7 @@
         let n = seconds as usize + 5;
         let latency = (0..n).map(|_| Histogram::new_with_bounds(1, 60_000_000, 2).expect("bounds")).collect();
         Tally {
-            clock: Clock::new(),
+            clock: Clock::stopped(),
             counts: (0..n).map(|_| std::array::from_fn(|_| AtomicU64::new(0))).collect(),
             latency: Mutex::new(latency),
             reached: Mutex::new(Vec::new()),
@@ -89,13 +89,13 @@
     }
 
     /// Seconds with room.
-    pub fn len(&self) -> usize {
+    pub fn seconds(&self) -> usize {
         self.counts.len()
     }
 
     /// The sum over the run of a kind.
     pub fn total(&self, what: Count) -> u64 {
-        (0..self.len()).map(|s| self.get(s, what)).sum()
+        (0..self.seconds()).map(|s| self.get(s, what)).sum()
     }
 
     /// Latency quantile `q` of second `s` (None for the whole run), ms.
--- a/scalelab/examples/heal_probe.rs
+++ b/scalelab/examples/heal_probe.rs
@@ -13,7 +13,7 @@
         (0..7).map(|k| net.fronts.iter().map(|f| f.news.bytes_sent[k]).sum::<u64>()).collect()
     };
     let (h0, s0) = (held(&net), sent(&net));
-    for _ in 0..8 {
+    for _ in 0..14 {
         net.run(net.now + 1000 * MS);
         let truth: Vec<_> = (0..n).map(|i| net.node(i).unwrap().members().directory().own().id()).collect();
         let renewed = (0..n)
--- a/wrenseam/src/fleet/inquiry.rs
+++ b/wrenseam/src/fleet/inquiry.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 /// Members asked about at once; of others that are disputed the next repair tells again.
-const HELD: usize = 48;
+const HELD: usize = 24;
 
 #[derive(Clone, Copy, Debug)]
 struct Dispute {
--- /dev/null
+++ b/wrenseam/tests/fleet_records.rs
@@ -0,0 +1,412 @@
+//! The rules of member records as tables: which claim wins and what follows from it, what a record may hold, what a
+//! datagram must look like, and which state follows which message.
+use rand::{rngs::SmallRng, RngExt, SeedableRng};
+use rstest::rstest;
+use std::net::SocketAddr;
+use wrenseam::fleet::directory::{Claim, Directory, Liveness, Verdict, GONE_FOR, GONE_HELD};
+use wrenseam::fleet::identity::{header, MAX_DATAGRAM, MAX_INCARNATION};
+use wrenseam::fleet::members::Members;
+use wrenseam::fleet::message::{Envelope, Message, MessageError, RECORDS_VERSION};
+use wrenseam::fleet::record::{Entry, Record, RecordError, Stamp, MAX_ENTRIES, MAX_RECORD_BYTES};
+use wrenseam::fleet::{Facts, Lifecycle, PeerEvent, PeerId, SwimSettings};
+
+const MS: u64 = 1000;
+const CLUSTER: u32 = 7;
+
+fn addr(i: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (i >> 8) as u8, i as u8], 7946))
+}
+
+fn id(i: usize, incarnation: u64) -> PeerId {
+    PeerId { addr: addr(i), incarnation }
+}
+
+/// A record of member `i` whose content depends on `content` alone.
+fn record(i: usize, incarnation: u64, version: u32, content: u64) -> Record {
+    let facts = Facts { lifecycle: Lifecycle::Ready, config_digest: content, ..Facts::default() };
+    Record { owner: addr(i), stamp: Stamp { incarnation, version }, facts }
+}
+
+/// Member 0 at (5, 3) with content 1, which holds member 1 at (5, 3) with content 1, in this liveness.
+fn directory(liveness: Option<Liveness>) -> Directory {
+    let mut directory = Directory::new(record(0, 5, 3, 1));
+    let Some(liveness) = liveness else { return directory };
+    directory.up(0, id(1, 5));
+    assert!(directory.offer(record(1, 5, 3, 1)));
+    if liveness == Liveness::Left {
+        directory.left(id(1, 5));
+    }
+    if liveness.is_gone() {
+        assert_eq!(directory.gone(0, id(1, 5)), liveness);
+    }
+    directory
+}
+
+use Liveness::{Alive, Down, Left};
+use Verdict::{Behind, Dispute, Fetch, Learn, Outbid, Restamp, Same};
+
+#[rstest]
+// Not known here: only who lives is news.
+#[case::unknown_and_alive(None, (1, 5, 3, Alive, 1), Learn)]
+#[case::unknown_and_down(None, (1, 5, 3, Down, 1), Same)]
+#[case::unknown_and_left(None, (1, 5, 3, Left, 1), Same)]
+// The same incarnation: the larger version wins, and content breaks a tie the same way everywhere.
+#[case::the_same(Some(Alive), (1, 5, 3, Alive, 1), Same)]
+#[case::a_newer_version(Some(Alive), (1, 5, 4, Alive, 2), Fetch)]
+#[case::a_newer_version_of_the_same_content(Some(Alive), (1, 5, 4, Alive, 1), Restamp)]
+#[case::an_older_version(Some(Alive), (1, 5, 2, Alive, 2), Behind)]
+#[case::no_record_there(Some(Alive), (1, 5, 0, Alive, 0), Behind)]
+#[case::the_largest_version(Some(Alive), (1, 5, u32::MAX, Alive, 2), Fetch)]
+// A larger incarnation wins whatever the versions.
+#[case::a_larger_incarnation(Some(Alive), (1, 6, 0, Alive, 0), Learn)]
+#[case::a_larger_incarnation_over_gone(Some(Down), (1, 6, 1, Alive, 2), Learn)]
+#[case::a_smaller_incarnation(Some(Alive), (1, 4, u32::MAX, Alive, 2), Behind)]
+#[case::a_smaller_incarnation_gone(Some(Alive), (1, 4, 9, Down, 2), Behind)]
+// Gone against alive: who is said to be down is asked first, who said so itself has left.
+#[case::down_there(Some(Alive), (1, 5, 3, Down, 1), Dispute)]
+#[case::a_larger_incarnation_down_there(Some(Alive), (1, 6, 1, Down, 1), Dispute)]
+#[case::left_there(Some(Alive), (1, 5, 4, Left, 2), Verdict::Left)]
+#[case::alive_there_down_here(Some(Down), (1, 5, 9, Alive, 2), Behind)]
+#[case::alive_there_left_here(Some(Left), (1, 5, 9, Alive, 2), Behind)]
+#[case::gone_on_both_sides(Some(Down), (1, 7, 9, Left, 2), Same)]
+// Ourselves: nobody else writes our record.
+#[case::ours(None, (0, 5, 3, Alive, 1), Same)]
+#[case::ours_before(None, (0, 5, 2, Alive, 2), Behind)]
+#[case::ours_that_we_never_said(None, (0, 5, 4, Alive, 2), Outbid)]
+#[case::ours_with_another_content(None, (0, 5, 3, Alive, 2), Outbid)]
+#[case::ours_of_a_former_clock(None, (0, 9, 1, Alive, 1), Outbid)]
+#[case::ours_held_as_down(None, (0, 5, 3, Down, 1), Outbid)]
+#[case::ours_before_held_as_down(None, (0, 4, 3, Down, 1), Behind)]
+fn which_claim_wins(
+    #[case] held: Option<Liveness>, #[case] claim: (usize, u64, u32, Liveness, u64), #[case] want: Verdict,
+) {
+    let (owner, incarnation, version, liveness, content) = claim;
+    let checksum = if content == 0 { 0 } else { record(owner, 5, 3, content).facts.checksum() };
+    // The tie of equal stamps goes by checksum, whichever is larger.
+    let claim = Claim { owner: addr(owner), stamp: Stamp { incarnation, version }, liveness, checksum };
+    assert_eq!(directory(held).weigh(&claim), want);
+}
+
+#[test]
+fn equal_stamps_with_two_contents_end_in_the_same_one_everywhere() {
+    let (a, b) = (record(1, 5, 3, 1), record(1, 5, 3, 2));
+    let ends: Vec<_> = [[&a, &b], [&b, &a]]
+        .iter()
+        .map(|order| {
+            let mut directory = directory(None);
+            directory.up(0, id(1, 5));
+            for record in order {
+                directory.offer((*record).clone());
+            }
+            directory.digest()
+        })
+        .collect();
+    assert_eq!(ends[0], ends[1]);
+}
+
+/// Whatever the order and number of deliveries, all end with the newest record of the newest incarnation.
+#[test]
+fn any_order_of_deliveries_ends_the_same() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let all: Vec<Record> = (0..24).map(|n| record(1, 5 + n / 8, 1 + (n % 8) as u32, n)).collect();
+    let want = directory_with(&all);
+    for _ in 0..200 {
+        let order: Vec<Record> =
+            (0..60).map(|_| all[rng.random_range(0..all.len())].clone()).chain(all.last().cloned()).collect();
+        assert_eq!(directory_with(&order), want);
+    }
+}
+
+fn directory_with(order: &[Record]) -> (u64, Option<Record>) {
+    let mut directory = directory(None);
+    for record in order {
+        if directory.claim(addr(1)).is_none_or(|held| held.stamp.incarnation < record.stamp.incarnation) {
+            directory.up(0, record.id());
+        }
+        directory.offer(record.clone());
+    }
+    (directory.digest(), directory.record(addr(1)))
+}
+
+#[rstest]
+#[case::the_next_version(Stamp { incarnation: 5, version: 3 }, Some(Stamp { incarnation: 5, version: 4 }))]
+#[case::after_the_last_version(
+    Stamp { incarnation: 5, version: u32::MAX },
+    Some(Stamp { incarnation: 6, version: 1 })
+)]
+#[case::after_the_last_of_all(Stamp { incarnation: MAX_INCARNATION, version: u32::MAX }, None)]
+fn the_next_stamp(#[case] of: Stamp, #[case] want: Option<Stamp>) {
+    assert_eq!(of.next(), want);
+    assert!(want.is_none_or(|next| next > of));
+}
+
+fn with_entries(count: usize, value: usize) -> Facts {
+    let entry = |n: usize| (format!("name-{n:02}"), Entry { version: 1, value: "x".repeat(value) });
+    Facts { entries: (0..count).map(entry).collect(), ..Facts::default() }
+}
+
+#[rstest]
+#[case::empty(Facts::default(), None)]
+#[case::full(with_entries(MAX_ENTRIES, 10), None)]
+#[case::too_many(with_entries(MAX_ENTRIES + 1, 1), Some(RecordError::TooManyEntries(MAX_ENTRIES + 1)))]
+#[case::too_large(with_entries(10, 100), Some(RecordError::TooLarge(1172)))]
+#[case::a_long_zone(Facts { zone: "z".repeat(65), ..Facts::default() }, Some(RecordError::NameTooLong(65)))]
+#[case::a_value_of_any_text(Facts { zone: "zona-ñ".to_owned(), ..Facts::default() }, None)]
+fn a_record_is_bounded(#[case] facts: Facts, #[case] want: Option<RecordError>) {
+    let record = Record { owner: addr(1), stamp: Stamp { incarnation: 5, version: 3 }, facts };
+    match (record.encode(), want) {
+        (Ok(bytes), None) => {
+            assert!(bytes.len() <= MAX_RECORD_BYTES);
+            assert_eq!(Record::decode(&bytes), Ok(record));
+        }
+        (told, want) => assert_eq!(told.err(), want),
+    }
+}
+
+#[rstest]
+#[case::cut_short(|b: &mut Vec<u8>| b.truncate(b.len() - 1), RecordError::Truncated)]
+#[case::longer(|b: &mut Vec<u8>| b.push(0), RecordError::Truncated)]
+#[case::another_form(|b: &mut Vec<u8>| b[19] = 2, RecordError::UnknownFormat(2))]
+#[case::another_lifecycle(|b: &mut Vec<u8>| b[20] = 4, RecordError::UnknownLifecycle(4))]
+#[case::an_endless_incarnation(|b: &mut Vec<u8>| b[7] = 0xff, RecordError::IncarnationOutOfRange(0xff00_0000_0000_0005))]
+#[case::no_text(|b: &mut Vec<u8>| b[30] = 0xff, RecordError::NotText)]
+fn what_is_no_record_is_refused(#[case] spoil: fn(&mut Vec<u8>), #[case] want: RecordError) {
+    let facts = Facts { zone: "z".to_owned(), ..Facts::default() };
+    let record = Record { owner: addr(1), stamp: Stamp { incarnation: 5, version: 3 }, facts };
+    let mut bytes = record.encode().expect("small");
+    spoil(&mut bytes);
+    assert_eq!(Record::decode(&bytes), Err(want));
+}
+
+fn messages() -> Vec<Message> {
+    let claim =
+        Claim { owner: addr(3), stamp: Stamp { incarnation: 5, version: 3 }, liveness: Left, checksum: 9 };
+    let present = Message::Present { record: Box::new(record(1, 5, 3, 1)), origin: addr(2) };
+    vec![
+        Message::Digest([7; 16]),
+        Message::Hashes { parts: 0x8001, hashes: vec![1, u32::MAX] },
+        Message::Claims { unmatched: vec![4], claims: vec![claim; 3] },
+        Message::Records { news: true, records: vec![record(1, 5, 3, 1), record(2, 5, 3, 2)] },
+        Message::Wanted(vec![addr(1), "[fd00::7]:9".parse().expect("an address")]),
+        Message::Inquiry { about: id(1, 5), gone: true, origin: addr(2) },
+        present,
+    ]
+}
+
+#[test]
+fn datagrams_round_trip_and_any_flipped_bit_is_caught() {
+    let header = header(RECORDS_VERSION, CLUSTER);
+    for message in messages() {
+        let envelope = Envelope { from: id(4, 5), message };
+        let good = envelope.encode(&header).expect("small");
+        assert_eq!(Envelope::decode(&good), Ok(envelope));
+        for bit in 0..8 * good.len() {
+            let mut bad = good.clone();
+            bad[bit / 8] ^= 1 << (bit % 8);
+            assert_eq!(Envelope::decode(&bad), Err(MessageError::Checksum), "bit {bit}");
+        }
+        (0..good.len()).for_each(|cut| assert!(Envelope::decode(&good[..cut]).is_err()));
+    }
+}
+
+fn settings() -> SwimSettings {
+    SwimSettings {
+        cluster: CLUSTER,
+        probe: 500 * MS,
+        suspect_for: 1500 * MS,
+        expected: 3,
+        extra_transmissions: 0,
+        fresh_for: 1500 * MS,
+        capacity: 64,
+    }
+}
+
+fn members() -> Members {
+    let facts = Facts { lifecycle: Lifecycle::Ready, ..Facts::default() };
+    Members::new(id(0, 5), facts, settings(), 1)
+}
+
+/// Hands `members` a message of member `from`; what it answers, with whom to.
+fn tell(members: &mut Members, now: u64, from: PeerId, message: Message) -> Vec<(SocketAddr, Message)> {
+    let header = header(RECORDS_VERSION, CLUSTER);
+    let bytes = Envelope { from, message }.encode(&header).expect("small");
+    members.datagram(now, &bytes);
+    answers(members)
+}
+
+fn answers(members: &mut Members) -> Vec<(SocketAddr, Message)> {
+    let out = members.outbox().into_iter();
+    out.filter_map(|out| Some((out.to, Envelope::decode(&out.bytes).ok()?.message))).collect()
+}
+
+fn news(record: Record) -> Message {
+    Message::Records { news: true, records: vec![record] }
+}
+
+/// Our own stamp after what others say of us: always larger than theirs, and unchanged by what is past.
+#[rstest]
+#[case::a_forged_record(news(record(0, 5, 9, 9)), (5, 10))]
+#[case::one_at_the_largest_version(news(record(0, 5, u32::MAX, 9)), (6, 1))]
+#[case::one_of_a_former_clock(news(record(0, 8, 2, 9)), (8, 3))]
+#[case::one_that_is_past(news(record(0, 4, 9, 9)), (5, 1))]
+#[case::held_as_gone(Message::Inquiry { about: id(0, 5), gone: true, origin: addr(1) }, (6, 1))]
+#[case::a_larger_one_held_as_gone(Message::Inquiry { about: id(0, 9), gone: true, origin: addr(1) }, (10, 1))]
+#[case::a_larger_one_held_alive(Message::Inquiry { about: id(0, 9), gone: false, origin: addr(1) }, (10, 1))]
+#[case::ours_asked_for(Message::Inquiry { about: id(0, 5), gone: false, origin: addr(1) }, (5, 1))]
+#[case::a_past_one_held_as_gone(Message::Inquiry { about: id(0, 4), gone: true, origin: addr(1) }, (5, 1))]
+fn only_we_write_our_record(#[case] said: Message, #[case] want: (u64, u32)) {
+    let mut members = members();
+    tell(&mut members, MS, id(1, 5), said);
+    let own = members.directory().own().clone();
+    assert_eq!((own.stamp.incarnation, own.stamp.version), want);
+    assert_eq!(own.facts, Facts { lifecycle: Lifecycle::Ready, ..Facts::default() });
+}
+
+/// What follows from each message about member 1, known alive at incarnation 5: its liveness, and its incarnation.
+#[rstest]
+#[case::nothing(None, Some((5, Alive)))]
+#[case::it_leaves(Some(news(leaving(1, 5))), Some((5, Left)))]
+#[case::it_left_before(Some(news(leaving(1, 4))), Some((5, Alive)))]
+#[case::it_started_again(Some(news(record(1, 6, 1, 1))), Some((6, Alive)))]
+#[case::down_there(Some(claims(1, 5, Down)), Some((5, Alive)))]
+#[case::left_there(Some(claims(1, 5, Left)), Some((5, Left)))]
+#[case::a_former_one_down(Some(claims(1, 4, Down)), Some((5, Alive)))]
+fn which_state_follows(#[case] said: Option<Message>, #[case] want: Option<(u64, Liveness)>) {
+    let mut members = members();
+    tell(&mut members, MS, id(2, 5), news(record(1, 5, 1, 1)));
+    said.into_iter().for_each(|said| drop(tell(&mut members, 2 * MS, id(2, 5), said)));
+    let held = members.directory().claim(addr(1)).map(|claim| (claim.stamp.incarnation, claim.liveness));
+    assert_eq!(held, want);
+    let downs = members.events().into_iter().filter(|(_, event)| matches!(event, PeerEvent::Down(_)));
+    assert_eq!(downs.count(), 0);
+}
+
+fn leaving(i: usize, incarnation: u64) -> Record {
+    let facts = Facts { lifecycle: Lifecycle::Leaving, ..Facts::default() };
+    Record { facts, ..record(i, incarnation, 9, 1) }
+}
+
+fn claims(i: usize, incarnation: u64, liveness: Liveness) -> Message {
+    let stamp = Stamp { incarnation, version: 1 };
+    let checksum = record(i, incarnation, 1, 1).facts.checksum();
+    Message::Claims {
+        unmatched: Vec::new(),
+        claims: vec![Claim { owner: addr(i), stamp, liveness, checksum }],
+    }
+}
+
+/// Who left or died is not taken up again by what others say; its own next incarnation is.
+#[rstest]
+#[case::by_a_record(news(record(1, 5, 3, 1)), false)]
+#[case::by_a_newer_record(news(record(1, 5, 99, 1)), false)]
+#[case::by_a_claim(claims(1, 5, Alive), false)]
+#[case::by_a_former_incarnation(news(record(1, 4, 99, 1)), false)]
+#[case::by_its_next_incarnation(news(record(1, 6, 1, 1)), true)]
+fn none_comes_back_by_hearsay(#[case] said: Message, #[case] back: bool) {
+    let mut members = members();
+    tell(&mut members, MS, id(2, 5), news(record(1, 5, 1, 1)));
+    tell(&mut members, 2 * MS, id(2, 5), news(leaving(1, 5)));
+    assert_eq!(members.alive(), 1);
+    tell(&mut members, 3 * MS, id(2, 5), said);
+    assert_eq!(members.alive() == 2, back);
+}
+
+/// Who is held as down elsewhere is asked, and told that it needs a larger incarnation; who asks is answered once,
+/// and what a relay passed on goes no further.
+#[test]
+fn inquiries_go_one_relay_far() {
+    let mut members = members();
+    tell(&mut members, MS, id(1, 5), news(record(1, 5, 1, 1)));
+    let told = tell(&mut members, 2 * MS, id(2, 5), claims(1, 5, Down));
+    let inquiry = Message::Inquiry { about: id(1, 5), gone: true, origin: addr(0) };
+    assert!(told.contains(&(addr(1), inquiry)), "{told:?}");
+    let of_another = Message::Inquiry { about: id(1, 5), gone: false, origin: addr(2) };
+    assert_eq!(tell(&mut members, 3 * MS, id(2, 5), of_another.clone()), [(addr(1), of_another.clone())]);
+    assert_eq!(tell(&mut members, 4 * MS, id(3, 5), of_another), []);
+    let own = Box::new(members.directory().own().clone());
+    let of_us = Message::Inquiry { about: id(0, 5), gone: false, origin: addr(2) };
+    let present = Message::Present { record: own, origin: addr(2) };
+    assert_eq!(tell(&mut members, 5 * MS, id(2, 5), of_us), [(addr(2), present)]);
+    let passed = Message::Present { record: Box::new(record(1, 5, 1, 1)), origin: addr(2) };
+    assert_eq!(tell(&mut members, 6 * MS, id(1, 5), passed.clone()), [(addr(2), passed.clone())]);
+    assert_eq!(tell(&mut members, 7 * MS, id(3, 5), passed), []);
+}
+
+/// Two that hold the same say nothing; answers end, whatever is claimed.
+#[test]
+fn no_repair_goes_round_in_circles() {
+    let mut members = members();
+    tell(&mut members, MS, id(1, 5), news(record(1, 5, 1, 1)));
+    let same = members.directory().part_digests();
+    assert_eq!(tell(&mut members, 2 * MS, id(1, 5), Message::Digest(same)), []);
+    // A digest that lies costs one answer of bounded size, and claims of what is held just so none.
+    let told = tell(&mut members, 3 * MS, id(1, 5), Message::Digest([1; 16]));
+    assert!(matches!(&told[..], [(_, Message::Hashes { .. })]), "{told:?}");
+    assert_eq!(tell(&mut members, 4 * MS, id(1, 5), claims(1, 5, Alive)), []);
+    let hashes = Message::Hashes { parts: u16::MAX, hashes: vec![1, 2, 3] };
+    let told = tell(&mut members, 5 * MS, id(1, 5), hashes);
+    assert!(matches!(&told[..], [(_, Message::Claims { .. })]), "{told:?}");
+}
+
+#[rstest]
+#[case::empty(vec![], [0, 1, 0, 0, 0])]
+#[case::foreign(b"wF\x03\x00\x00\x00\x08and more".to_vec(), [0, 1, 0, 0, 0])]
+#[case::oversized(vec![b'w'; MAX_DATAGRAM + 1], [1, 0, 0, 0, 0])]
+#[case::garbled(b"wF\x03\x00\x00\x00\x07and more".to_vec(), [0, 0, 0, 1, 0])]
+#[case::garbled_membership(b"wF\x01\x00\x00\x00\x07\xff\xff\xff".to_vec(), [0, 0, 1, 0, 0])]
+#[case::of_a_version_to_come(b"wF\x09\x00\x00\x00\x07and more".to_vec(), [0, 1, 0, 0, 0])]
+#[case::from_ourselves(
+    Envelope { from: id(0, 5), message: Message::Digest([0; 16]) }.encode(&header(3, CLUSTER)).expect("small"),
+    [0, 0, 0, 0, 1]
+)]
+#[case::from_a_past_incarnation(
+    Envelope { from: id(1, 4), message: Message::Digest([0; 16]) }.encode(&header(3, CLUSTER)).expect("small"),
+    [0, 0, 0, 0, 1]
+)]
+fn bad_datagrams_are_counted_by_cause(#[case] bytes: Vec<u8>, #[case] want: [u64; 5]) {
+    let mut members = members();
+    tell(&mut members, MS, id(1, 5), news(record(1, 5, 1, 1)));
+    let digest = members.directory().digest();
+    members.datagram(2 * MS, &bytes);
+    let (dropped, counts) = (members.swim().dropped, members.counts);
+    let got = [dropped.oversized, dropped.foreign, dropped.garbled, counts.garbled, counts.stranger];
+    assert_eq!((got, members.directory().digest()), (want, digest));
+}
+
+/// Random bytes behind each of our headers, some with a valid checksum: no table grows beyond the members named.
+#[test]
+fn no_bytes_end_or_swell_a_front_end() {
+    let (mut members, mut rng) = (members(), SmallRng::seed_from_u64(3));
+    for n in 0..20_000u64 {
+        let length = rng.random_range(0..300);
+        let mut bytes = header(rng.random_range(1..=3), CLUSTER).to_vec();
+        bytes.extend((0..length).map(|_| rng.random::<u8>()));
+        if rng.random::<bool>() {
+            bytes.extend(crc32fast::hash(&bytes).to_be_bytes());
+        }
+        members.datagram(n * MS, &bytes);
+        members.tick(n * MS);
+        members.outbox();
+    }
+    assert!(members.directory().alive().count() < 1_024);
+}
+
+/// Members gone are forgotten after a day, and sooner where there are too many.
+#[rstest]
+#[case::soon(10, 1000 * MS, 10)]
+#[case::too_many(GONE_HELD + 100, 1000 * MS, GONE_HELD)]
+#[case::long_ago(10, GONE_FOR, 0)]
+fn the_gone_are_forgotten_in_bounded_time_and_number(
+    #[case] gone: usize, #[case] after: u64, #[case] held: usize,
+) {
+    let mut directory = Directory::new(record(0, 5, 1, 1));
+    for i in 1..=gone {
+        directory.up(0, id(i, 5));
+        directory.gone(i as u64, id(i, 5));
+    }
+    let forgotten = directory.forget_gone(after + gone as u64);
+    let left = (1..=gone).filter(|&i| directory.claim(addr(i)).is_some()).count();
+    assert_eq!((left, forgotten.len()), (held, gone - held));
+    // Those gone longest go first.
+    assert!(held == 0 || directory.claim(addr(gone)).is_some());
+}
