Detector: doubt grows by three failures in a row or in silence, and an answer ends it

Cause, on the simulated net: with 13 of 40 crashed the last one was not accused by anybody for 4 to 6 s; front ends whose probes failed twice in a row by the others' fault probed two to three times more seldom. After a long mute spell the factor was nine, and a front end held a dead peer for over 10 s (a random schedule showed it). Ruled out: how news spread (a first accusation was known to all within 0.5 s). Change: doubt grows by three failures in a row, or by one in whose time nobody was heard; it is at most three and halves with an answer. Who is suspected here and held as gone elsewhere is gone at once. Probes carry twelve news while the budget is tight.

--- a/wrenseam/src/fleet/detector.rs
+++ b/wrenseam/src/fleet/detector.rs
@@ -1,7 +1,8 @@
 //! How far this front end may trust its own failure detection (local health, after Lifeguard): it doubts itself
 //! before it has others declared down. No I/O; time is handed in.
 //!
-//! - Its own probes that fail in a row, and times in which it did not run, lengthen its probes and suspicions.
+//! - Its own probes that fail in a row or in silence, and times in which it did not run, lengthen its probes and
+//!   suspicions.
 //! - A suspicion is dropped once the suspect is heard from, by any datagram.
 //! - It accuses nobody unless it has proof that it heard and was heard for half of the suspicion's time, without a gap
 //!   and up to now: probes of its own that were acknowledged. Who hears nobody accuses nobody.
@@ -11,7 +12,10 @@
 use std::net::SocketAddr;
 
 /// The most that doubts in oneself add up to: probes and suspicions are at most so many times longer, and once more.
-pub const MAX_DOUBT: u32 = 8;
+pub const MAX_DOUBT: u32 = 3;
+
+/// So many probes that fail one after another tell of ourselves.
+const FAILED_IN_A_ROW: u32 = 3;
 
 /// A probe of ours.
 #[derive(Clone, Copy, Debug)]
@@ -43,7 +47,8 @@
 #[derive(Debug, Default)]
 pub struct Detector {
     probe: Option<Probe>,
-    failed_before: bool,
+    /// Probes that failed, one after another.
+    failed: u32,
     /// When the newest probe that was acknowledged had begun.
     proven: Option<Micros>,
     /// Since when probes have been acknowledged without a gap.
@@ -73,19 +78,23 @@
     /// A probe begins; the one before it has ended.
     pub fn probe_began(&mut self, now: Micros, number: u8) {
         if let Some(before) = self.probe.take() {
-            self.probe_ended(before.acknowledged);
+            self.probe_ended(before);
         }
         self.probe = Some(Probe { number, began: now, acknowledged: false });
     }
 
-    /// One failure may be the other's; the second in a row, of two peers, is rather ours.
-    fn probe_ended(&mut self, acknowledged: bool) {
-        if acknowledged {
-            self.doubt = self.doubt.saturating_sub(1);
-        } else if self.failed_before {
+    /// One failure, or two, may be the others': a third of a fleet may go at once. [`FAILED_IN_A_ROW`] of them, or one
+    /// in whose time nobody was heard, are rather ours.
+    fn probe_ended(&mut self, probe: Probe) {
+        if probe.acknowledged {
+            self.doubt /= 2; // an answer proves that we hear and are heard
+            self.failed = 0;
+            return;
+        }
+        self.failed += 1;
+        if self.failed >= FAILED_IN_A_ROW || self.heard_any < Some(probe.began) {
             self.doubt = (self.doubt + 1).min(MAX_DOUBT);
         }
-        self.failed_before = !acknowledged;
     }
 
     /// A probe of ours was acknowledged, by its target or by way of another.
--- a/wrenseam/src/fleet/members.rs
+++ b/wrenseam/src/fleet/members.rs
@@ -407,13 +407,23 @@
         found.left.into_iter().for_each(|id| self.take_leave(now, id));
         self.settle(now);
         found.restamps.iter().for_each(|claim| self.directory.restamp(claim));
-        found.disputes.into_iter().for_each(|id| self.disputes.open(now, id));
+        found.disputes.into_iter().for_each(|id| self.dispute(now, id));
         if let Some(past) = found.outbid {
             self.outbid(now, past);
         }
         self.ask_disputed(now);
     }
 
+    /// Another holds as gone who is alive here. Whom we suspect too is gone; others are asked first.
+    fn dispute(&mut self, now: Micros, id: PeerId) {
+        if self.swim.detector().suspects().any(|suspect| suspect == id) {
+            self.swim.learn(now, id, true, true);
+            self.settle(now);
+        } else {
+            self.disputes.open(now, id);
+        }
+    }
+
     /// Somebody holds of us what is not so: our next stamp is larger than that.
     fn outbid(&mut self, now: Micros, past: Stamp) {
         self.counts.impostor += 1;
--- a/wrenseam/src/fleet/swim.rs
+++ b/wrenseam/src/fleet/swim.rs
@@ -21,8 +21,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-/// News of members on a probe or an acknowledgement at the most, where summaries are not wanted.
+/// News of members on a probe or an acknowledgement at the most, where summaries are not wanted; and while the budget
+/// of bytes is tight.
 const NEWS_ON_PROBES: u16 = 24;
+const NEWS_WHEN_TIGHT: u16 = 12;
 
 /// The settings of membership, in microseconds.
 #[derive(Clone, Copy, Debug)]
@@ -135,6 +137,8 @@
     defunct: bool,
     /// Whether probes carry all that foca puts on them: summaries, for front ends that want them.
     untrimmed: bool,
+    /// Whether the budget of bytes is tight: probes carry fewer news, and periodic gossip goes to one peer a round.
+    sparing: bool,
     detector: Detector,
     header: [u8; HEADER_BYTES],
 }
@@ -199,7 +203,8 @@
         };
         let mut bytes = Vec::with_capacity(HEADER_BYTES + data.len());
         bytes.extend_from_slice(&self.header);
-        match trimmed(data).filter(|_| kind == TrafficKind::Probe && !self.untrimmed) {
+        let most = if self.sparing { NEWS_WHEN_TIGHT } else { NEWS_ON_PROBES };
+        match trimmed(data, most).filter(|_| kind == TrafficKind::Probe && !self.untrimmed) {
             Some(trimmed) => bytes.extend(trimmed),
             None => bytes.extend_from_slice(data),
         }
@@ -220,21 +225,21 @@
     }
 }
 
-/// A probe or an acknowledgement of foca's with [`NEWS_ON_PROBES`] news of members at the most, if it has more:
-/// they are never held back, and with all the news that fit each would take a tenth of the budget of a second.
-fn trimmed(data: &[u8]) -> Option<Vec<u8>> {
+/// A probe or an acknowledgement of foca's with so many news of members at the most, if it has more: they are never
+/// held back, and with all the news that fit each would take a tenth of the budget of a second.
+fn trimmed(data: &[u8], most: u16) -> Option<Vec<u8>> {
     let mut rest = data;
     PostcardCodec.decode_header(&mut rest).map(|_: Header<PeerId>| ()).ok()?;
     let header = data.len() - rest.len();
     let (count, mut rest) = rest.split_first_chunk::<2>()?;
-    if u16::from_be_bytes(*count) <= NEWS_ON_PROBES {
+    if u16::from_be_bytes(*count) <= most {
         return None;
     }
-    for _ in 0..NEWS_ON_PROBES {
+    for _ in 0..most {
         PostcardCodec.decode_member(&mut rest).map(|_: Member<PeerId>| ()).ok()?;
     }
     let mut bytes = data[..header].to_vec();
-    bytes.extend(NEWS_ON_PROBES.to_be_bytes());
+    bytes.extend(most.to_be_bytes());
     bytes.extend(&data[header + 2..data.len() - rest.len()]);
     Some(bytes)
 }
@@ -253,8 +258,6 @@
     settings: SwimSettings,
     config: Config,
     seed: u64,
-    /// Whether periodic gossip goes to one peer a round instead of all.
-    sparing: bool,
     /// Whether this front end has told that it leaves.
     leaving: bool,
     /// Datagrams dropped, by cause.
@@ -306,7 +309,6 @@
             settings,
             config,
             seed,
-            sparing: false,
             leaving: false,
             dropped: Dropped::default(),
             published: 0,
@@ -357,7 +359,7 @@
         // They were of the foca before, whose timers this one could not tell from its own.
         self.outside.timers.clear();
         self.outside.defunct = false;
-        let sparing = std::mem::take(&mut self.sparing);
+        let sparing = std::mem::take(&mut self.outside.sparing);
         self.spare(sparing);
     }
 
@@ -395,13 +397,13 @@
         let _ = self.foca.handle_timer(Timer::RemoveDown(id), &mut self.outside);
     }
 
-    /// Whether periodic gossip is to go to one peer a round from now on, instead of all that are configured: news
-    /// of many members then take longer and fewer bytes a second. Probes, suspicion and answers are not changed.
+    /// Whether periodic gossip is to go to one peer a round from now on, instead of all that are configured, and probes
+    /// are to carry fewer news: news of many members then take longer and fewer bytes a second.
     pub fn spare(&mut self, sparing: bool) {
-        if sparing == self.sparing {
+        if sparing == self.outside.sparing {
             return;
         }
-        self.sparing = sparing;
+        self.outside.sparing = sparing;
         let mut config = self.config.clone();
         if let Some(g) = config.periodic_gossip.as_mut().filter(|_| sparing) {
             g.num_members = NonZeroUsize::MIN;
