Fleet: lost peers stay known over a restart of membership; old datagrams are dropped

Ruled out: the accusation itself (nobody accused; the news was in the backlog). Change: Directory::forget_all keeps where members were that are down; after a stall longer than a suspicion what waited in the socket is dropped (20 ms). The budget is 9,200 bytes a second with a burst of 1,700, for the same worst second.

--- a/wrenseam/src/fleet/directory.rs
+++ b/wrenseam/src/fleet/directory.rs
@@ -355,8 +355,11 @@
     /// Forgets all members and what they said, but for where they were.
     pub fn forget_all(&mut self) {
         let members = std::mem::take(&mut self.members);
-        let alive = members.iter().filter(|(_, member)| !member.liveness.is_gone());
-        self.lost.extend(alive.map(|(&addr, _)| addr).take(GONE_HELD));
+        let lost = members.iter().filter(|(_, member)| member.liveness != Liveness::Left);
+        self.lost.extend(lost.map(|(&addr, _)| addr));
+        while self.lost.len() > GONE_HELD {
+            self.lost.pop_first();
+        }
         self.parts = [0; PARTS];
         self.toggle(self.own_claim());
     }
--- a/wrenseam/src/fleet/node.rs
+++ b/wrenseam/src/fleet/node.rs
@@ -23,6 +23,10 @@
 /// Peers asked for their lists in a probe period while one's own is filling.
 const ASK_FILLING: usize = 2;
 
+/// What waited in the socket while the process did not run for longer than a suspicion is old news, and may declare
+/// down who has come back since: so long takes reading it, and it is dropped.
+const BACKLOG_READ_IN: Micros = 20_000;
+
 /// Times that news of a member are passed on besides foca's 4 log10 N. As a zone or a region goes, up to half of
 /// those times are spent on peers that are gone too: of 11 at 660 some 5 are left, and one in 200 misses the news.
 pub const EXTRA_TRANSMISSIONS: u8 = 5;
@@ -90,6 +94,8 @@
     ask_lost_at: Micros,
     /// When [`Node::tick`] was last wanted or run, whichever is later: it shows whether the process ran.
     expected_at: Option<Micros>,
+    /// Until when datagrams are dropped that waited while the process did not run.
+    stale_until: Micros,
     /// Members that came since the last [`Node::publish`].
     came: usize,
     /// Peers that drained or were leaving at the last [`Node::publish`], and those that left since.
@@ -112,6 +118,7 @@
             rng: SmallRng::seed_from_u64(seed ^ 0x6c6f_7374),
             ask_lost_at: 0,
             expected_at: None,
+            stale_until: 0,
             came: 0,
             draining: 0,
             left: 0,
@@ -123,6 +130,9 @@
     /// Takes a datagram that came at `now`.
     pub fn datagram(&mut self, now: Micros, bytes: &[u8]) {
         self.now = now;
+        if now < self.stale_until {
+            return;
+        }
         self.members.set_tight(self.traffic.is_tight(now));
         if self.members.swim().is_ours(bytes, AVERAGE_VERSION) {
             if let Some(from) = self.average.datagram(now, bytes) {
@@ -158,6 +168,9 @@
         if late > self.settings.swim.probe / 2 {
             self.members.stalled(now, late);
         }
+        if late > self.settings.swim.suspect_for {
+            self.stale_until = now + BACKLOG_READ_IN;
+        }
     }
 
     /// The averaging's neighbours follow a change of the members: when its turn comes, and not with each datagram.
--- a/wrenseam/src/fleet/traffic.rs
+++ b/wrenseam/src/fleet/traffic.rs
@@ -3,9 +3,9 @@
 
 /// Bytes a second that a front end sends on average at the most: with as many received, and [`BURST`] besides,
 /// the worst second stays under 22 KB.
-pub const RATE: i64 = 8_000;
+pub const RATE: i64 = 9_200;
 /// Bytes that may be sent at once after a quiet time.
-pub const BURST: i64 = 2_800;
+pub const BURST: i64 = 1_700;
 
 /// What a datagram is for, the least dispensable first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
