Detector: two failures in a row are a gap in the proof that we are heard

Ruled out: a longer proof (the proof was as long as wanted, but old). Change: two failures in a row end the proof, whatever the period.

--- a/wrenseam/src/fleet/detector.rs
+++ b/wrenseam/src/fleet/detector.rs
@@ -14,7 +14,9 @@
 /// The most that doubts in oneself add up to: probes and suspicions are at most so many times longer, and once more.
 pub const MAX_DOUBT: u32 = 3;
 
-/// So many probes that fail one after another tell of ourselves.
+/// So many probes that fail one after another are a gap in the proof that we hear and are heard.
+const GAP: u32 = 2;
+/// So many tell of ourselves.
 const FAILED_IN_A_ROW: u32 = 3;
 
 /// A probe of ours.
@@ -70,11 +72,6 @@
         Detector { probe_period, proof_for: suspect_for / 2, ..Detector::default() }
     }
 
-    /// The longest time between the beginnings of two acknowledged probes that is no gap: one may fail.
-    fn gap(&self) -> Micros {
-        self.probe_period * Micros::from(self.factor()) * 9 / 4
-    }
-
     /// A probe begins; the one before it has ended.
     pub fn probe_began(&mut self, now: Micros, number: u8) {
         if let Some(before) = self.probe.take() {
@@ -92,6 +89,9 @@
             return;
         }
         self.failed += 1;
+        if self.failed >= GAP {
+            self.proven_since = None;
+        }
         if self.failed >= FAILED_IN_A_ROW || self.heard_any < Some(probe.began) {
             self.doubt = (self.doubt + 1).min(MAX_DOUBT);
         }
@@ -99,12 +99,9 @@
 
     /// A probe of ours was acknowledged, by its target or by way of another.
     pub fn acknowledged(&mut self, now: Micros, number: u8) {
-        let gap = self.gap();
         let Some(probe) = self.probe.as_mut().filter(|probe| probe.number == number) else { return };
         probe.acknowledged = true;
-        if self.proven.is_none_or(|proven| probe.began.saturating_sub(proven) > gap) {
-            self.proven_since = Some(now);
-        }
+        self.proven_since.get_or_insert(now);
         self.proven = Some(probe.began);
     }
 
