--- a/wrenseam/src/gossip.rs
+++ b/wrenseam/src/gossip.rs
@@ -145,7 +145,7 @@
     }
 }
 
-/// Has the fleet told that this process ends, and waits until that is sent; no longer than [`LEAVE_WITHIN`].
+/// Has the fleet told that this process ends, and waits until that is sent; 0.3 s at the longest.
 pub fn leave(shared: &Shared) {
     shared.leaving.store(true, Ordering::Release);
     let since = Instant::now();
