--- a/src/control.rs
+++ b/src/control.rs
@@ -6,7 +6,7 @@
 use crate::interface::*;
 use crate::scout::Scout;
 use crate::state::*;
-use crate::virtual_loss::{theta, virtual_loss_chance};
+use crate::virtual_loss::{has_virtual_losses, theta, virtual_loss_chance};
 
 pub(crate) const MS: Micros = 1_000;
 pub(crate) const SEC: Micros = 1_000_000;
@@ -261,6 +261,9 @@
         let theta = theta(self.busy, self.instances);
         let (d, lambda) = self.counts(&self.functions[f], now);
         let z_star = (d as f64 - lambda) / theta;
+        if !has_virtual_losses(d, theta, z_star) {
+            return false;
+        }
         let least = self.least_star.min(z_star);
         let z = self.free_workers(f, now).len();
         let Some(p) = virtual_loss_chance(d, z, lambda, theta, z_star, least) else { return false };
