Test: a heal at 40 has to be right within 2 s again, as the figure asks

Cause: a_cut_heals was written with 2 s, failed at 2.1 to 2.2 s, and was raised to 4 s to see the rest; after repair by hashes the time was under 2 s and the bound was not put back. Ruled out: other bounds of these tests eased and left so (read against the issue's figures: 1 s for a leave, 2 s for a change at 40, 6 s for a crash). the_dead_do_not_come_back_by_hearsay waits 6 s where it first waited 5, and asserts what it had assumed.

--- a/scalelab/tests/agreement_bounds.rs
+++ b/scalelab/tests/agreement_bounds.rs
@@ -76,7 +76,7 @@
     net.run(net.now + 40 * S);
     net.downs.clear();
     net.fronts.iter_mut().for_each(|front| front.side = 0);
-    let took = agreed(&mut net, 4 * S);
+    let took = agreed(&mut net, 2 * S);
     let same_side: Vec<_> = net.downs.iter().filter(|down| side(down.by) == side(down.of)).collect();
     assert!(same_side.is_empty(), "{same_side:?}");
     eprintln!("{n} front ends: all agree {} ms after the heal", took / MS);
