Fronts: a connection on which a request was read is neither evicted nor closed unanswered

Root cause, two places in which a connection ended under a request that had been read (clients send it once more within 50 ms): 1. net.rs, Seats::clear: it chose connections with nothing owed under their lock and had their writer end them later (drop_now); a request read between the two went to the core and its connection closed. 2. fastcgi.rs and kserve.rs, Side::answer: the request stopped being owed (Occupant::ended) before its answer was queued; a reader that closes what owes nothing (drain, end of the process) queued its close ahead of the answer. Ruled out: a close by idle time alone (the reader itself decides it, between two reads, with nothing owed). Change: an eviction looks and ends under the lock that a new request takes, and passes over connections with unread input or unwritten answers; Occupant::opened says whether the request may be taken; Occupant::answered queues the answer first.

--- a/wrenseam/src/front/fastcgi.rs
+++ b/wrenseam/src/front/fastcgi.rs
@@ -1,5 +1,5 @@
 //! The platform's front: FastCGI 1.0, Responder role, many requests on one connection.
-use super::{function, token_fits, Doors, Figures};
+use super::{function, token_fits, Doors, Figures, EVICTED};
 use crate::core::{Answer, Client, Ended, Message, Payload, Request};
 use crate::limits::{Held, Limits};
 use crate::net::{timed_out, Occupant, Outbox, Reads, Seat};
@@ -120,11 +120,12 @@
         }
         let Some(Live { close, .. }) = live.remove(&id) else { return };
         drop(live);
-        self.occupant.ended(!matches!(answer, Answer::Failed));
-        self.out.send(answer_bytes(id, &answer));
-        if close {
-            self.out.close();
-        }
+        self.occupant.answered(!matches!(answer, Answer::Failed), || {
+            self.out.send(answer_bytes(id, &answer));
+            if close {
+                self.out.close();
+            }
+        });
     }
 
     fn connection(&self) -> u64 {
@@ -398,10 +399,10 @@
     fn stdin(&mut self, id: u16, content: &[u8]) -> Result<(), String> {
         let most = self.doors.limits.body;
         if content.is_empty() {
-            if let Some(partial) = self.partial.remove(&id).filter(|p| !p.over) {
-                self.whole(id, partial);
-            }
-            return Ok(());
+            return match self.partial.remove(&id).filter(|p| !p.over) {
+                Some(partial) => self.whole(id, partial),
+                None => Ok(()),
+            };
         }
         let Some(partial) = self.partial.get_mut(&id).filter(|p| !p.over) else {
             return self.pass_over(content.len());
@@ -414,7 +415,7 @@
     }
 
     /// A request has come whole.
-    fn whole(&mut self, id: u16, partial: Partial) {
+    fn whole(&mut self, id: u16, partial: Partial) -> Result<(), String> {
         let read_at = Instant::now();
         let params: HashMap<String, String> = pairs(&partial.params).into_iter().collect();
         let word = |name: &str| params.get(name).map_or("", String::as_str);
@@ -428,7 +429,7 @@
             if close {
                 self.side.out.close();
             }
-            return;
+            return Ok(());
         }
         if self.doors.shared.stopping.load(Ordering::Acquire) {
             // The process ends soon: what comes now could not be served in time here, another takes it.
@@ -440,7 +441,7 @@
             if close {
                 self.side.out.close();
             }
-            return;
+            return Ok(());
         }
         let request = neutral(path, &word, partial.body, &self.doors.limits);
         match request.map(|r| Request {
@@ -451,15 +452,18 @@
         }) {
             Err(why) => self.refuse(id, Fault::Bad(why), close),
             Ok(request) => {
+                if !self.side.occupant.opened() {
+                    return Err(EVICTED.to_owned());
+                }
                 self.uses += 1;
                 if let Ok(mut live) = self.side.live.lock() {
                     live.insert(id, Live { used: self.uses, close, gone: request.gone.clone() });
                 }
                 let tag = self.uses << 16 | u64::from(id);
-                self.side.occupant.opened();
                 let _ = self.doors.core.send(Message::Request(request, self.side.clone(), tag));
             }
         }
+        Ok(())
     }
 }
 
--- a/wrenseam/src/front/kserve.rs
+++ b/wrenseam/src/front/kserve.rs
@@ -1,5 +1,5 @@
 //! The KServe v2 front: the Open Inference Protocol over HTTP/1.1 REST, on the same core as FastCGI.
-use super::{function, token_fits, Doors, Figures};
+use super::{function, token_fits, Doors, Figures, EVICTED};
 use crate::core::{Answer, Client, Ended, Message, Payload, Request};
 use crate::http::{response, Head};
 use crate::limits::Limits;
@@ -78,8 +78,9 @@
 
 impl Client for Side {
     fn answer(&self, tag: u64, answer: Answer) {
-        self.occupant.ended(!matches!(answer, Answer::Failed));
-        self.fill(tag, |close| answer_bytes(answer, close));
+        self.occupant.answered(!matches!(answer, Answer::Failed), || {
+            self.fill(tag, |close| answer_bytes(answer, close));
+        });
     }
 
     fn connection(&self) -> u64 {
@@ -127,6 +128,8 @@
 enum Reply {
     /// The core answers later.
     Later,
+    /// The connection ended before the request was read: it is not sent on, and cannot be answered.
+    Never,
     /// Status, and body.
     Now(&'static str, Vec<u8>),
 }
@@ -263,12 +266,16 @@
             }
             slots.push_back(Slot { tag, close: head.close, ready: None, gone: Arc::default() });
         }
-        if let Reply::Now(status, body) = (self.handle)(self, tag, head, body) {
-            self.side.occupant.heard();
-            let told = if status.starts_with("503") { "Retry-After: 1\r\n" } else { "" };
-            self.side.fill(tag, |close| response(status, told, &body, close));
+        match (self.handle)(self, tag, head, body) {
+            Reply::Later => Ok(()),
+            Reply::Never => Err(EVICTED.to_owned()),
+            Reply::Now(status, body) => {
+                self.side.occupant.heard();
+                let told = if status.starts_with("503") { "Retry-After: 1\r\n" } else { "" };
+                self.side.fill(tag, |close| response(status, told, &body, close));
+                Ok(())
+            }
         }
-        Ok(())
     }
 
     fn ready(&self) -> bool {
@@ -340,7 +347,9 @@
                 if let Some(slot) = slots.ok().as_mut().and_then(|s| s.iter_mut().find(|s| s.tag == tag)) {
                     slot.gone = request.gone.clone();
                 }
-                self.side.occupant.opened();
+                if !self.side.occupant.opened() {
+                    return Reply::Never;
+                }
                 let _ = self.doors.core.send(Message::Request(request, self.side.clone(), tag));
                 Reply::Later
             }
--- a/wrenseam/src/net.rs
+++ b/wrenseam/src/net.rs
@@ -135,6 +135,7 @@
     budget: Budget,
     most: usize,
     sight: Arc<dyn Sight>,
+    socket: Weak<Socket>,
 }
 
 impl Outbox {
@@ -147,8 +148,9 @@
         let (most, stack) = (limits.unsent_per_connection, limits.stack);
         let (unsent, budget, ending) = (unsent.clone(), budget.clone(), Arc::default());
         let socket = Arc::new(Socket(stream));
-        let sight = Arc::new(Eye(Arc::downgrade(&socket)));
-        let out = Outbox { chunks, waiting, unsent, ending, budget, most, sight };
+        let weak = Arc::downgrade(&socket);
+        let sight = Arc::new(Eye(weak.clone()));
+        let out = Outbox { chunks, waiting, unsent, ending, budget, most, sight, socket: weak };
         let (limits, waiting, unsent) = (limits.clone(), out.waiting.clone(), out.unsent.clone());
         let ending = out.ending.clone();
         spawn(stack, move || {
@@ -192,6 +194,18 @@
         let _ = self.chunks.send(Chunk::Drop);
     }
 
+    /// Ends the connection at once, unless something of its client lies unread or an answer waits to be written.
+    /// Whether it has ended: nothing that the client sends from then on is read.
+    fn end_if_quiet(&self) -> bool {
+        let Some(socket) = self.socket.upgrade() else { return true };
+        if self.waiting.load(Ordering::Acquire) > 0 || self.sight.presence() == Presence::Unread {
+            return false;
+        }
+        let _ = socket.0.shutdown(Shutdown::Both); // it may have ended by itself
+        self.drop_now();
+        true
+    }
+
     /// Whether the connection is to be closed in order.
     pub fn closing(&self) -> bool {
         self.ending.closing.load(Ordering::Acquire)
@@ -288,6 +302,8 @@
     since: Instant,
     /// Whether a request of it has been served or refused: others may never say anything of use.
     proven: bool,
+    /// Whether it was ended to make room for another: no request is taken on it any more.
+    evicted: bool,
 }
 
 /// One client connection, as the seats know it.
@@ -312,18 +328,42 @@
         }
     }
 
-    /// A request has gone to the core.
-    pub fn opened(&self) {
-        self.change(|u| u.open += 1);
+    /// A request has been read and goes to the core. False if the connection was evicted: a request that is sent on
+    /// from it could not be answered, and its client would send it once more.
+    #[must_use]
+    pub fn opened(&self) -> bool {
+        let Ok(mut state) = self.state.lock() else { return false };
+        let taken = !state.0.evicted;
+        state.0.open += usize::from(taken);
+        taken
     }
 
-    /// A request is owed nothing any more; `proven` if it was one that workers could take.
+    /// Answers a request: `write` queues the answer, and only then the request is owed nothing any more. In the other
+    /// order a reader that closes connections on which nothing is owed closes this one ahead of the answer. `proven`
+    /// if the request was one that workers could take.
+    pub fn answered(&self, proven: bool, write: impl FnOnce()) {
+        write();
+        self.ended(proven);
+    }
+
+    /// A request is owed nothing any more: its client gave it up, or it has been answered.
     pub fn ended(&self, proven: bool) {
         self.change(|u| {
-            *u = Use { open: u.open.saturating_sub(1), since: Instant::now(), proven: u.proven || proven };
+            (u.open, u.since) = (u.open.saturating_sub(1), Instant::now());
+            u.proven |= proven;
         });
     }
 
+    /// Ends the connection to make room for another, unless something is owed, unread or unwritten on it. That is
+    /// decided under the lock that `opened` takes: no request is taken on a connection that ends here.
+    fn evict(&self) -> bool {
+        let Ok(mut state) = self.state.lock() else { return false };
+        let (usage, out) = &mut *state;
+        let quiet = || out.as_ref().is_some_and(Outbox::end_if_quiet);
+        usage.evicted = usage.evicted || usage.open == 0 && quiet();
+        usage.evicted
+    }
+
     /// Something was answered at once.
     pub fn heard(&self) {
         self.change(|u| u.since = Instant::now());
@@ -343,7 +383,7 @@
     /// memory against connections that say nothing, or ask once and stay. Usual clients close sooner.
     pub fn outstayed(&self, limits: &Limits) -> bool {
         let Ok(state) = self.state.lock() else { return true };
-        let Use { open, since, proven } = state.0;
+        let Use { open, since, proven, .. } = state.0;
         let most = match () {
             // A drain lets the front end go once its clients have: it holds no connection idle for long.
             () if self.draining.load(Ordering::Acquire) => limits.drain_idle,
@@ -366,7 +406,8 @@
         if taken.len() >= self.most {
             return None;
         }
-        let state = Mutex::new((Use { open: 0, since: Instant::now(), proven: false }, None));
+        let usage = Use { open: 0, since: Instant::now(), proven: false, evicted: false };
+        let state = Mutex::new((usage, None));
         let draining = self.draining.clone();
         let occupant = Arc::new(Occupant { number: connection_number(), state, draining });
         taken.insert(occupant.number, occupant.clone());
@@ -384,14 +425,14 @@
         let new = taken.values().any(new);
         let idle = |o: &Arc<Occupant>| {
             let state = o.state.lock().ok()?;
-            let out = state.1.clone().filter(|_| state.0.open == 0)?;
-            Some(((state.0.proven, state.0.since), out))
+            let idle = state.1.is_some() && state.0.open == 0;
+            idle.then(|| ((state.0.proven, state.0.since), o.clone()))
         };
         let mut idle: Vec<_> = taken.values().filter_map(idle).collect();
         drop(taken);
         idle.sort_by_key(|i| i.0);
-        idle.truncate(self.most.div_ceil(16));
-        idle.iter().for_each(|(_, out)| out.drop_now());
+        let evicted = idle.iter().filter(|(_, occupant)| occupant.evict());
+        let _ = evicted.take(self.most.div_ceil(16)).count();
         new || !idle.is_empty()
     }
 }
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -207,6 +207,11 @@
         true
     }
 
+    /// The ids of the calls that have come to any worker since they were last asked for.
+    pub fn calls_come(&self) -> Vec<u64> {
+        self.calls.try_iter().map(|call| call.id).collect()
+    }
+
     /// The folder of this stage's files, which is the program's TMPDIR too.
     pub fn folder(&self) -> PathBuf {
         self.config.0.parent().expect("a folder").to_path_buf()
