Repeats: by where a worker stood when it was sent to, and written within the key's window

Root causes, all for keyed classes, in control.rs `allowed` (before: lines 293 to 301) and in what carries its word: 1. It compared the zone and cell of the first worker's entry as listed now: told anew elsewhere, its key seemed known there. 2. An absent cell was read as 0 (roster.rs, adapter) and each zone that the settings do not name as the same position (json::position): two absences or two unnamed zones were one group, and a repeat crossed zones. 3. The window was judged when the module decided; the repeat then waited for its connection or behind a stalled write as long as its budget allowed, and went out past it (Ticket::call knew the budget only). Ruled out: the earliest attempt (attempts are pushed in the order of time), a wall clock stepped between two attempts (core::Clock reads it once, at the start), reuse of a worker's place in the module (state.rs `seat` keeps a place that an open request names). Change: src/repeat.rs decides; an attempt keeps where its worker stood; Entry.zone and Entry.cell are optional and zones have names (ZoneNames); Action::Send carries the window, the ticket voids what is not begun by then, and a half-written repeat ends its connection. What never ran is tried again as before (tests/repeats.rs).

--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -16,6 +16,7 @@
 struct Instance {
     controller: Controller,
     settings: Settings,
+    zones: ZoneNames,
 }
 
 fn main() -> ExitCode {
@@ -129,7 +130,8 @@
         "SPAWN" => {
             let settings = Settings::from_json(part(fields, "conf").ok_or("'conf' is not an object")?);
             let controller = Controller::new(settings.clone(), whole(fields, "salt")?);
-            instances.insert(gateway, Instance { controller, settings });
+            instances
+                .insert(gateway, Instance { controller, zones: ZoneNames::new(&settings.zones), settings });
             return Ok(());
         }
         "KILLED" => {
@@ -202,7 +204,7 @@
     Ok(())
 }
 
-fn entry(instance: &Instance, value: &Value) -> Res<Entry> {
+fn entry(instance: &mut Instance, value: &Value) -> Res<Entry> {
     let fields = object(value).ok_or("a list entry is not an object")?;
     Ok(Entry {
         worker: text(fields, "host")?.to_owned(),
@@ -213,9 +215,9 @@
             _ => return Err("'mode' of a list entry is unknown".into()),
         },
         started_at: span(fields, "started-at"),
-        zone: position(&instance.settings.zones, word(fields, "az")),
+        zone: instance.zones.position(word(fields, "az").unwrap_or_default()),
         kind: position(&instance.settings.kinds, word(fields, "kind")),
-        cell: figure(fields, "cluster").unwrap_or(0),
+        cell: figure(fields, "cluster"),
     })
 }
 
@@ -229,7 +231,7 @@
     let (host, msg) = (|worker| ("host", Value::String(worker)), |text| ("msg", Value::String(text)));
     let id = |id| ("id", count(id));
     let (name, mut fields) = match action {
-        Action::Send { id: of, worker, timeout } => {
+        Action::Send { id: of, worker, timeout, .. } => {
             ("DELIVER", vec![id(of), host(worker), ("allow-for", ms(timeout))])
         }
         Action::Cancel { id: of, attempt } => ("CALL_OFF", vec![id(of), ("hop", count(attempt as u64))]),
--- a/scalelab/src/hollow.rs
+++ b/scalelab/src/hollow.rs
@@ -109,9 +109,9 @@
             worker: name(n),
             state,
             started_at,
-            zone: n % self.zones.max(1),
+            zone: Some(n % self.zones.max(1)),
             kind: 0,
-            cell: (n / 6) as u64,
+            cell: Some((n / 6) as u64),
         }
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,6 +4,7 @@
 //! with a free lane. Finding none is a loss; losses, real and virtual, add copies where the least recently
 //! lost function lies idle. Everything else below is a guard, and says what it guards against.
 use crate::interface::*;
+use crate::repeat::{may_repeat, never_ran, repeat_window, Placement};
 use crate::scout::Scout;
 use crate::state::*;
 use crate::virtual_loss::{has_virtual_losses, theta, virtual_loss_chance};
@@ -279,8 +280,7 @@
         function.at.iter().filter_map(free).collect()
     }
 
-    /// Where a request may go. Rule 2: an unsafe one only while nothing may have run, a keyed one that may
-    /// have run only inside its group and window. Nothing goes back to where it failed.
+    /// Where a request may go. Rule 2 is kept by `may_repeat`. Nothing goes back to where it failed.
     pub(crate) fn allowed(&self, id: RequestId, w: usize, now: Micros) -> bool {
         let r = &self.requests[&id];
         let blocked = |key| self.workers[w].blocks.get(&key).is_some_and(|b| now < b.0);
@@ -290,16 +290,7 @@
         if r.attempts.iter().any(|a| a.worker == w && (a.open || a.may_have_run)) {
             return false;
         }
-        let Some(first) = r.attempts.iter().find(|a| a.may_have_run) else { return true };
-        let (c, a, b) =
-            (&self.set.classes[r.class], &self.workers[first.worker].entry, &self.workers[w].entry);
-        let inside = match c.group {
-            Group::All => true,
-            Group::Zone => a.zone == b.zone,
-            Group::Cell => a.cell == b.cell,
-        };
-        let keyed = c.effect == Effect::Keyed && inside && now + TICK < first.sent + c.window;
-        c.effect == Effect::Safe || keyed
+        may_repeat(r, &self.set.classes[r.class], Placement::of(&self.workers[w].entry), now)
     }
 
     /// Sends a request, or leaves it held until a copy is due, or ends it if nothing more can be done.
@@ -437,12 +428,13 @@
         let load = if unknown { function.load_time.max(DEFAULT_SPAN as f64) } else { 0.0 };
         let expected = function.service.max(10.0 * MS as f64) + load;
         let (timeout, class) = (r.ends.saturating_sub(now).max(MS), r.class);
+        let window = repeat_window(r, &self.set.classes[class], now);
         self.sent(now, id, w, cold, expected);
         let weight = self.cold_share(w, now).map(|_| self.weight(class));
         let worker = &mut self.workers[w];
         weight.into_iter().for_each(|weight| worker.cold.spend(now, weight));
         worker.next_trial = now + TRIAL_GAP;
-        out.push(Action::Send { id, worker: worker.entry.worker.clone(), timeout });
+        out.push(Action::Send { id, worker: worker.entry.worker.clone(), timeout, window });
     }
 
     /// The one final answer: refused where nothing can have run, failed otherwise. What is still out is
@@ -462,8 +454,7 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(attempt).filter(|a| a.open) else { return };
         a.open = false;
-        let never = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
-        (a.may_have_run, a.missed) = (!never, outcome == Outcome::Miss);
+        (a.may_have_run, a.missed) = (!never_ran(outcome), outcome == Outcome::Miss);
         r.errors += u32::from(outcome == Outcome::Error);
         let (w, f, a, pair) = (a.worker, r.function, a.clone(), (r.tenant, r.class));
         self.workers[w].out.remove(&(a.sent, id, attempt));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -143,12 +143,12 @@
     pub state: WorkerState,
     /// When it last started; 0: long ago.
     pub started_at: Micros,
-    /// Its zone's position in the settings.
-    pub zone: usize,
+    /// Its zone: a position in the settings, or beyond them for a zone that they do not name. `None`: not told.
+    pub zone: Option<usize>,
     /// Its machine kind's position in the settings.
     pub kind: usize,
-    /// Its cell.
-    pub cell: u64,
+    /// Its cell, where told.
+    pub cell: Option<u64>,
 }
 
 /// How an attempt, an order or a question ended.
@@ -260,6 +260,9 @@
         worker: WorkerId,
         /// When to stop waiting for it; 0: when the client gives up.
         timeout: Micros,
+        /// The attempt repeats one that may have run, and is void unless it is written within this span: later, no
+        /// worker drops it.
+        window: Option<Micros>,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,7 +21,7 @@
 //! let mut controller = Controller::new(settings, 7);
 //! let mut actions = Vec::new();
 //! let entry = Entry {
-//!     worker: "w1".into(), state: WorkerState::Ready, started_at: 0, zone: 0, kind: 0, cell: 0,
+//!     worker: "w1".into(), state: WorkerState::Ready, started_at: 0, zone: Some(0), kind: 0, cell: Some(0),
 //! };
 //! controller.handle(0, Event::Members { full: true, entries: vec![entry] }, &mut actions);
 //! controller.handle(1_000, Event::Request {
@@ -45,14 +45,17 @@
 mod interface;
 pub mod json;
 mod prospect;
+mod repeat;
 mod scout;
 mod settings;
 mod state;
 pub mod virtual_loss;
+mod zone_names;
 mod zones;
 
 pub use interface::*;
 pub use state::Controller;
+pub use zone_names::ZoneNames;
 
 #[cfg(test)]
 mod tests {
@@ -92,7 +95,7 @@
         for n in 0..200u64 {
             let entry = |n: u64, state| {
                 let worker = format!("w{n}");
-                Entry { worker, state, started_at: 0, zone: 0, kind: 0, cell: 0 }
+                Entry { worker, state, started_at: 0, zone: Some(0), kind: 0, cell: Some(0) }
             };
             let entries = vec![entry(n, WorkerState::Ready), entry(n.wrapping_sub(3), WorkerState::Gone)];
             c.handle(n * 1_000_000, Event::Members { full: false, entries }, &mut out);
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,7 @@
 use crate::control::{CROWD, DEFAULT_SPAN, LOAD_CAP, LONGEST, QUESTIONS, TRIALS, TRIAL_GAP};
 use crate::interface::*;
 use crate::prospect::Pace;
+use crate::repeat::Placement;
 use crate::zones::Zones;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -125,6 +126,8 @@
     pub(crate) cold: bool,
     pub(crate) ours_then: u32,
     pub(crate) called_off: bool,
+    /// Where its worker stood when it was sent.
+    pub(crate) placement: Placement,
 }
 
 pub(crate) struct Request {
@@ -486,6 +489,7 @@
         let (worker, open, may_have_run, called_off, ours_then) = (w, true, true, false, c.ours);
         let missed = false;
         let sent = now;
+        let placement = Placement::of(&self.workers[w].entry);
         r.attempts.push(Attempt {
             worker,
             sent,
@@ -496,6 +500,7 @@
             cold,
             ours_then,
             called_off,
+            placement,
         });
         self.workers[w].holds.insert(r.function);
         self.workers[w].out.insert((now, id, r.attempts.len() - 1));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -48,9 +48,9 @@
         worker: format!("w{n}"),
         state: WorkerState::Ready,
         started_at: 0,
-        zone: n % 2,
+        zone: Some(n % 2),
         kind: 0,
-        cell: (n / 2) as u64,
+        cell: Some((n / 2) as u64),
     }
 }
 
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -353,7 +353,7 @@
     checker.event(0, &request(2, SAFE));
     let gone = Entry { state: WorkerState::Gone, ..entry(0) };
     checker.event(0, &Event::Members { full: false, entries: vec![gone] });
-    let send = |id, w: &str| Action::Send { id, worker: w.into(), timeout: 0 };
+    let send = |id, w: &str| Action::Send { id, worker: w.into(), timeout: 0, window: None };
     checker.action(1, &send(1, "w1"));
     checker.action(2, &send(1, "w2"));
     checker.action(3, &Action::Refuse { id: 1, retry_after: 0 });
--- /dev/null
+++ b/tests/repeats.rs
@@ -0,0 +1,121 @@
+//! Rule 2 where the list of workers changes between two attempts, and where a repeat may wait before it is written.
+mod common;
+use bramblepath::*;
+use common::*;
+use rstest::rstest;
+
+/// The window of keyed classes in the common settings.
+const WINDOW: Micros = 3 * SEC;
+
+/// Where a worker stands in the list.
+type Place = (Option<usize>, Option<u64>);
+
+fn entry_at(n: usize, (zone, cell): Place) -> Entry {
+    Entry { zone, cell, ..entry(n) }
+}
+
+/// Two workers that hold function 7, and a keyed class whose repeats are dropped in this group.
+fn keyed_rig(group: Group, places: [Place; 2]) -> Rig {
+    let mut set = settings();
+    set.classes[KEYED].group = group;
+    let mut rig = Rig::new(set, 0);
+    let entries = (0..2).map(|n| entry_at(n, places[n])).collect();
+    rig.feed(Event::Members { full: true, entries });
+    rig.warm(7, 1, &["w0", "w1"]);
+    rig
+}
+
+fn keyed_request(rig: &mut Rig, left: Micros) -> Vec<Action> {
+    rig.feed(Event::Request {
+        id: 2,
+        class: KEYED,
+        tenant: None,
+        function: 7,
+        left,
+        memory_mb: 500.0,
+        lanes: 1,
+        load_time: 0,
+        retry: false,
+    })
+}
+
+/// Workers whose zone or cell the list does not tell share no memory of keys: two absences are not one place.
+#[rstest]
+#[case::one_zone(Group::Zone, [(Some(0), None), (Some(0), None)], true)]
+#[case::two_zones(Group::Zone, [(Some(0), Some(1)), (Some(1), Some(1))], false)]
+#[case::zones_not_told(Group::Zone, [(None, Some(1)), (None, Some(1))], false)]
+#[case::one_cell(Group::Cell, [(None, Some(0)), (None, Some(0))], true)]
+#[case::cells_not_told(Group::Cell, [(Some(0), None), (Some(0), None)], false)]
+#[case::all_whatever_is_told(Group::All, [(None, None), (Some(0), Some(1))], true)]
+fn a_keyed_request_is_repeated_only_where_its_key_is_known(
+    #[case] group: Group, #[case] places: [Place; 2], #[case] repeated: bool,
+) {
+    let mut rig = keyed_rig(group, places);
+    assert_eq!(sends(&keyed_request(&mut rig, 2 * SEC)).len(), 1);
+    let again = rig.outcome(2, 0, Outcome::Reset, 50 * MS);
+    assert_eq!(sends(&again).len(), usize::from(repeated), "{again:?}");
+    // What provably never ran is tried again wherever workers stand.
+    let mut rig = keyed_rig(group, places);
+    keyed_request(&mut rig, 2 * SEC);
+    assert_eq!(sends(&rig.outcome(2, 0, Outcome::ConnectFailed, 50 * MS)).len(), 1);
+}
+
+/// The key is known where the worker stood when the attempt was sent, not where the list has it later: it is told anew
+/// in the other's zone while its attempt is out.
+#[rstest]
+#[case::into_the_others_zone(Group::Zone, (Some(1), Some(9)))]
+#[case::into_the_others_cell(Group::Cell, (Some(9), Some(1)))]
+fn a_worker_that_is_told_elsewhere_takes_no_key_along(#[case] group: Group, #[case] to: Place) {
+    let mut rig = keyed_rig(group, [(Some(0), Some(0)), (Some(1), Some(1))]);
+    let first = sends(&keyed_request(&mut rig, 2 * SEC))[0].clone();
+    let moved = usize::from(first == "w1");
+    let other = if moved == 0 { to } else { (to.0.map(|z| 1 - z.min(1)), to.1.map(|c| 1 - c.min(1))) };
+    rig.feed(Event::Members { full: false, entries: vec![entry_at(moved, other)] });
+    let mut later = rig.outcome(2, 0, Outcome::Reset, 50 * MS);
+    later.extend(rig.pass(SEC));
+    assert_eq!(sends(&later), Vec::<String>::new(), "{later:?}");
+    assert!(!later.iter().any(|a| matches!(a, Action::Refuse { .. })), "it may have run: {later:?}");
+}
+
+/// A repeat says for how long it may still be written: workers drop it only so long after the first attempt. A first
+/// attempt, one after another that never ran, and one of a class that is safe to repeat are not bounded.
+#[rstest]
+#[case::keyed_that_may_have_run(KEYED, Outcome::Reset, true)]
+#[case::keyed_that_never_ran(KEYED, Outcome::Full, false)]
+#[case::safe_that_may_have_run(SAFE, Outcome::Reset, false)]
+#[case::unsafe_that_never_ran(UNSAFE, Outcome::ConnectFailed, false)]
+fn a_repeat_is_written_within_the_window(
+    #[case] class: usize, #[case] outcome: Outcome, #[case] bounded: bool,
+    #[values(0, 500, 1_900)] passed: u64,
+) {
+    let mut rig = keyed_rig(Group::All, [(Some(0), Some(0)); 2]);
+    let window = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Send { window, .. } => Some(*window),
+            _ => None,
+        })
+    };
+    assert_eq!(window(&rig.request(2, class, 7)), Some(None), "a first attempt");
+    rig.now += passed * MS;
+    let again = window(&rig.outcome(2, 0, outcome, passed * MS)).expect("sent again");
+    match again {
+        None => assert!(!bounded),
+        Some(left) => {
+            assert!(bounded);
+            let rest = WINDOW - passed * MS;
+            assert!(left < rest && left + 30 * MS > rest, "{left} of {rest}");
+        }
+    }
+}
+
+/// Names of zones that the settings do not know stand for different zones.
+#[test]
+fn zones_that_the_settings_do_not_name_are_told_apart() {
+    let mut names = ZoneNames::new(&["east".to_owned(), "west".to_owned()]);
+    let told: Vec<_> = ["west", "north", "south", "north", ""].iter().map(|n| names.position(n)).collect();
+    assert_eq!(told, [Some(1), Some(2), Some(3), Some(2), None]);
+    // Names without end take no memory without end.
+    let numbered: Vec<_> = (0..2_000).map(|n| names.position(&format!("zone-{n}"))).collect();
+    assert_eq!(numbered[1_999], None);
+    assert_eq!(names.position("south"), Some(3));
+}
--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -15,8 +15,11 @@
 use crate::fleet::Lifecycle;
 use crate::limits::Limits;
 use crate::membership::{Change, Duty, Membership};
-use crate::worker::{pool, transport, Reports, Transport};
-use bramblepath::{Action, Controller, Effect, Entry, Event, Micros, Outcome, Settings, WorkerState};
+use crate::worker::{pool, transport, Reports, Terms, Transport};
+use bramblepath::json::position;
+use bramblepath::{
+    Action, Controller, Effect, Entry, Event, Micros, Outcome, Settings, WorkerState, ZoneNames,
+};
 use miniserde::json::{self, Number, Object, Value};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -149,6 +152,8 @@
     tally: Tally,
     /// The fleet's bounds, where the fleet is on.
     gate: Option<Gate>,
+    /// The zones that the settings and the lists have named.
+    zones: ZoneNames,
 }
 
 impl Core {
@@ -161,6 +166,7 @@
         let tally = Tally::new(settings.classes.len());
         Core {
             controller: Controller::new(settings.clone(), seed),
+            zones: ZoneNames::new(&settings.zones),
             settings,
             limits,
             clock: Clock::start(),
@@ -473,7 +479,7 @@
     fn act(&mut self, action: Action) {
         let now = self.clock.now();
         match action {
-            Action::Send { id, worker, timeout } => self.send(now, id, worker, timeout),
+            Action::Send { id, worker, timeout, window } => self.send(now, id, worker, (timeout, window)),
             Action::Cancel { id, attempt } => {
                 let key = AttemptKey { request: id, attempt };
                 let of = self.requests.get(&id).and_then(|o| o.attempts.get(attempt)).filter(|a| a.open);
@@ -545,7 +551,7 @@
         closed.len() == over
     }
 
-    fn send(&mut self, now: Micros, id: u64, worker: String, timeout: Micros) {
+    fn send(&mut self, now: Micros, id: u64, worker: String, (timeout, window): (Micros, Option<Micros>)) {
         let room = self.room(&worker);
         let Some(open) = self.requests.get_mut(&id) else { return };
         let key = AttemptKey { request: id, attempt: open.attempts.len() };
@@ -563,7 +569,7 @@
             Some(_) if !room => self.end(key, Report::bare(Outcome::Full)),
             // (A client that left is known to its front before it is told here.)
             Some(peer) if !open.request.gone.load(Ordering::Acquire) && budget > 0 && allowed => {
-                peer.transport.send(key, &open.request, budget);
+                peer.transport.send(key, &open.request, Terms { budget, repeat_window: window });
                 if let Some(attempt) = open.attempts.last_mut() {
                     attempt.carried = true;
                 }
@@ -587,13 +593,12 @@
     fn apply(&mut self, changes: Vec<Change>) {
         let mut entries = Vec::new();
         for Change { member, duty } in changes {
-            let place = |names: &[String], name: &str| bramblepath::json::position(names, Some(name));
             entries.push(Entry {
                 worker: member.id.clone(),
                 state: member.state,
                 started_at: member.started_at,
-                zone: place(&self.settings.zones, &member.zone),
-                kind: place(&self.settings.kinds, &member.kind),
+                zone: self.zones.position(&member.zone),
+                kind: position(&self.settings.kinds, Some(&member.kind)),
                 cell: member.cell,
             });
             eprintln!("member {}: {:?} at {}", member.id, member.state, member.address);
--- a/wrenseam/src/core/types.rs
+++ b/wrenseam/src/core/types.rs
@@ -151,8 +151,8 @@
     pub zone: String,
     /// Its machine kind's name.
     pub kind: String,
-    /// Its cell.
-    pub cell: u64,
+    /// Its cell, where told.
+    pub cell: Option<u64>,
     /// What it speaks.
     pub speech: Speech,
 }
--- a/wrenseam/src/membership.rs
+++ b/wrenseam/src/membership.rs
@@ -156,7 +156,7 @@
     fn member(id: &str, port: u16, state: WorkerState, started_at: u64) -> Member {
         let address = ([127, 0, 0, 1], port).into();
         let (zone, kind, speech) = ("hall-a".to_owned(), "std".to_owned(), Speech::Frames);
-        Member { id: id.to_owned(), address, state, started_at, zone, kind, cell: 0, speech }
+        Member { id: id.to_owned(), address, state, started_at, zone, kind, cell: Some(0), speech }
     }
 
     type News = (bool, Vec<(&'static str, u16, WorkerState, u64)>);
--- a/wrenseam/src/roster.rs
+++ b/wrenseam/src/roster.rs
@@ -63,7 +63,7 @@
         started_at: span(fields, "startedAtMs"),
         zone: text(fields, "zone").unwrap_or_default().to_owned(),
         kind: text(fields, "machineType").unwrap_or_default().to_owned(),
-        cell: whole(fields, "cell").unwrap_or(0),
+        cell: whole(fields, "cell"),
         speech: Speech::Frames,
         id,
     })
@@ -101,7 +101,7 @@
                     started_at: span(own, "started_at_ms"),
                     zone: zone.to_owned(),
                     kind: text(own, "kind").unwrap_or_default().to_owned(),
-                    cell: whole(own, "cell").unwrap_or(0),
+                    cell: whole(own, "cell"),
                     speech: Speech::Kserve,
                 });
             }
--- a/wrenseam/src/worker/frames.rs
+++ b/wrenseam/src/worker/frames.rs
@@ -1,6 +1,6 @@
 //! The platform's binary frames: attempts, orders and cancels over shared connections to one worker.
 use super::ticket::{Cut, Line, Ticket, LOOK_AGAIN};
-use super::{Reports, Transport};
+use super::{Reports, Terms, Transport};
 use crate::core::{AttemptKey, Payload, Report, Request};
 use crate::limits::Limits;
 use crate::net::{connection_number, pause, spawn, timed_out, write_now};
@@ -295,10 +295,10 @@
 }
 
 impl Transport for Frames {
-    fn send(&mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros) {
+    fn send(&mut self, key: AttemptKey, request: &Arc<Request>, terms: Terms) {
         let (id, function) = (request.wire_id, request.function);
-        let frame = encode(CALL, id, &call_fields(request, budget), request.payload.bytes());
-        let ticket = Ticket::call(request, Instant::now() + Duration::from_micros(budget));
+        let frame = encode(CALL, id, &call_fields(request, terms.budget), request.payload.bytes());
+        let ticket = Ticket::call(request, terms, Instant::now());
         let what = What::Attempt(key);
         // Its id may come again as long as its client waits, and answers to it a little longer.
         let until = request.read_at + Duration::from_micros(request.wait) + self.limits.late_answer;
@@ -568,6 +568,9 @@
                     self.line.written(written);
                     pause(nap);
                     stalled += nap;
+                    if self.line.is_overdue(written, Instant::now()) {
+                        return Err("a repeat was not written while its worker would drop it".to_owned());
+                    }
                     if stalled >= self.limits.write_stall {
                         return Err("nothing could be written for long".to_owned());
                     }
--- a/wrenseam/src/worker/kserve.rs
+++ b/wrenseam/src/worker/kserve.rs
@@ -1,7 +1,7 @@
 //! KServe v2 over HTTP/1.1 to one worker: each connection carries one exchange at a time. Loads, questions
 //! and unloads use the model repository extension.
 use super::ticket::{Begin, Ticket, LOOK_AGAIN};
-use super::{Reports, Transport};
+use super::{Reports, Terms, Transport};
 use crate::core::{AttemptKey, Payload, Report, Request};
 use crate::http::{Chunked, Coded, Head};
 use crate::limits::Limits;
@@ -124,15 +124,19 @@
         Kserve { address, limits, reports, state: Arc::default(), jobs, queue, out: Vec::new() }
     }
 
-    fn start(&mut self, what: What, bytes: Vec<u8>, bound: bool, budget: Micros, of: Option<&Request>) {
-        let cancelled = Arc::new(AtomicBool::new(false));
+    /// An order, a question or an unload: an order that waited for long is not begun, it would count when it arrives.
+    fn start_order(&mut self, what: What, bytes: Vec<u8>, bound: bool) {
         let begun = if matches!(what, What::Order(..)) {
             self.limits.connect + self.limits.write_check
         } else {
-            Duration::from_micros(budget)
+            Duration::from_micros(self.limits.order)
         };
-        let begun = Instant::now() + begun;
-        let ticket = of.map_or_else(|| Ticket::new(Arc::default(), begun), |r| Ticket::call(r, begun));
+        let ticket = Ticket::new(Arc::default(), Instant::now() + begun);
+        self.start(what, bytes, bound, self.limits.order, ticket);
+    }
+
+    fn start(&mut self, what: What, bytes: Vec<u8>, bound: bool, budget: Micros, ticket: Arc<Ticket>) {
+        let cancelled = Arc::new(AtomicBool::new(false));
         if let What::Attempt(key, _) = what {
             self.out.retain(|(_, _, flag)| Arc::strong_count(flag) > 1);
             self.out.push((key, ticket.clone(), cancelled.clone()));
@@ -165,13 +169,15 @@
 }
 
 impl Transport for Kserve {
-    fn send(&mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros) {
+    fn send(&mut self, key: AttemptKey, request: &Arc<Request>, terms: Terms) {
+        let budget = terms.budget;
         let path = format!("/v2/models/{:016x}/infer", request.function);
         let (bytes, foreign) = match &request.payload {
             Payload::Json(body) => (self.post(&path, budget, body), false),
             Payload::Bytes(body) => (self.post(&path, budget, &wrap_call(request, body, budget)), true),
         };
-        self.start(What::Attempt(key, foreign), bytes, true, budget, Some(request));
+        let ticket = Ticket::call(request, terms, Instant::now());
+        self.start(What::Attempt(key, foreign), bytes, true, budget, ticket);
     }
 
     fn cancel(&mut self, key: AttemptKey) -> bool {
@@ -196,13 +202,13 @@
         } else {
             self.post("/v2/repository/index", self.limits.order, b"{\"ready\":true}")
         };
-        self.start(What::Order(order, function, copies), bytes, copies > 0, self.limits.order, None);
+        self.start_order(What::Order(order, function, copies), bytes, copies > 0);
     }
 
     fn unload(&mut self, function: FunctionId) {
         let path = format!("/v2/repository/models/{function:016x}/unload");
         let bytes = self.post(&path, self.limits.order, b"{}");
-        self.start(What::Unload, bytes, false, self.limits.order, None);
+        self.start_order(What::Unload, bytes, false);
     }
 
     fn retire(&mut self) {
@@ -348,6 +354,9 @@
                     if whole && !self.begin(job) {
                         return Err(Outcome::Moot);
                     }
+                    if job.ticket.is_overdue(Instant::now()) {
+                        return Err(Outcome::ConnectFailed); // it never comes whole: the connection ends here
+                    }
                 }
                 // Not wholly written: nothing can have run.
                 _ => return Err(Outcome::ConnectFailed),
--- a/wrenseam/src/worker/mod.rs
+++ b/wrenseam/src/worker/mod.rs
@@ -28,10 +28,27 @@
     }
 }
 
+/// How long an attempt may wait, and may take to be written.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// How long its answer is waited for.
+    pub budget: Micros,
+    /// For an attempt that repeats one that may have run: it must have been written whole within this span, as later
+    /// no worker drops it.
+    pub repeat_window: Option<Micros>,
+}
+
+impl Terms {
+    /// A first attempt, or one that nothing but its budget bounds.
+    pub fn within(budget: Micros) -> Self {
+        Terms { budget, repeat_window: None }
+    }
+}
+
 /// The way to one worker. No call blocks; everything is carried out by coroutines.
 pub trait Transport: Send {
     /// Sends an attempt; exactly one report follows, unless it is cancelled first.
-    fn send(&mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros);
+    fn send(&mut self, key: AttemptKey, request: &Arc<Request>, terms: Terms);
     /// Gives an attempt up; what is not yet begun is not written. True proves that no byte of it was or will be.
     fn cancel(&mut self, key: AttemptKey) -> bool;
     /// Gives an order's answer up: it is awaited no more.
--- a/wrenseam/src/worker/ticket.rs
+++ b/wrenseam/src/worker/ticket.rs
@@ -3,6 +3,7 @@
 //! A call waits in the queue of a connection that comes up late, or behind a write that stalls. Meanwhile the core may
 //! take it back (its time is up, the module calls it off), its client may leave, and the writer may begin it. All three
 //! meet in one word of state: whoever changes it first has decided, and the others are told so.
+use super::Terms;
 use crate::core::{Presence, Request, Sight};
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU8, Ordering};
@@ -29,6 +30,8 @@
     looks: AtomicU32,
     /// Not begun later than this.
     until: Instant,
+    /// Not written whole later than this: a repeat that arrives later is not dropped by its worker.
+    whole_by: Option<Instant>,
 }
 
 /// What the writer may do with it.
@@ -47,16 +50,27 @@
 impl Ticket {
     /// A call for a client that sets `gone` when it leaves, to be begun by `until`.
     pub fn new(gone: Arc<AtomicBool>, until: Instant) -> Arc<Ticket> {
-        Ticket::seen(gone, None, until)
+        Ticket::seen(gone, None, (until, None))
     }
 
-    /// A call for this request.
-    pub fn call(request: &Request, until: Instant) -> Arc<Ticket> {
-        Ticket::seen(request.gone.clone(), request.sight.clone(), until)
+    /// A call for this request, sent at `now`.
+    pub fn call(request: &Request, terms: Terms, now: Instant) -> Arc<Ticket> {
+        let whole_by = terms.repeat_window.map(|window| now + Duration::from_micros(window));
+        let until = now + Duration::from_micros(terms.budget);
+        let until = whole_by.map_or(until, |by| by.min(until));
+        Ticket::seen(request.gone.clone(), request.sight.clone(), (until, whole_by))
     }
 
-    fn seen(gone: Arc<AtomicBool>, sight: Option<Arc<dyn Sight>>, until: Instant) -> Arc<Ticket> {
-        Arc::new(Ticket { state: AtomicU8::new(WAITS), gone, sight, looks: AtomicU32::new(0), until })
+    fn seen(
+        gone: Arc<AtomicBool>, sight: Option<Arc<dyn Sight>>, (until, whole_by): (Instant, Option<Instant>),
+    ) -> Arc<Ticket> {
+        let (state, looks) = (AtomicU8::new(WAITS), AtomicU32::new(0));
+        Arc::new(Ticket { state, gone, sight, looks, until, whole_by })
+    }
+
+    /// Whether what is not written whole by now must not be any more.
+    pub fn is_overdue(&self, now: Instant) -> bool {
+        self.whole_by.is_some_and(|by| now > by)
     }
 
     fn turn(&self, from: u8, to: u8) -> bool {
@@ -164,6 +178,12 @@
         }
     }
 
+    /// Whether the frame that has been written in part must not come whole any more.
+    pub fn is_overdue(&self, written: u64, now: Instant) -> bool {
+        let begun = self.pieces.front().filter(|p| p.begin < written);
+        begun.and_then(|p| p.ticket.as_ref()).is_some_and(|ticket| ticket.is_overdue(now))
+    }
+
     /// Begins what may be written next: all, or (`one`) the first frame alone. What is no longer wanted is to be
     /// cut, in the order told. Tells how many bytes of the ring may be written once that is done; none though there are
     /// some if the first waits for its client's reader.
--- a/wrenseam/tests/codecs.rs
+++ b/wrenseam/tests/codecs.rs
@@ -94,7 +94,7 @@
             && told.faults.is_empty()
             && m.state == WorkerState::Draining
             && m.started_at == 5_000
-            && m.cell == 2,
+            && m.cell == Some(2),
         "{m:?}"
     );
 }
@@ -114,5 +114,8 @@
     let json = parse(&text).expect("JSON");
     let members = endpoints(object(&json).expect("an object")).expect("sound");
     let m = &members[0];
-    assert_eq!((m.state, m.speech, &m.id[..], &m.zone[..], m.cell), (state, Speech::Kserve, "w1", "east", 3));
+    assert_eq!(
+        (m.state, m.speech, &m.id[..], &m.zone[..], m.cell),
+        (state, Speech::Kserve, "w1", "east", Some(3))
+    );
 }
--- a/wrenseam/tests/leaving.rs
+++ b/wrenseam/tests/leaving.rs
@@ -15,7 +15,7 @@
 use wrenseam::limits::{Budget, Limits};
 use wrenseam::net::Seats;
 use wrenseam::worker::ticket::{Begin, Ticket};
-use wrenseam::worker::{frames::Frames, kserve::Kserve, Reports, Transport};
+use wrenseam::worker::{frames::Frames, kserve::Kserve, Reports, Terms, Transport};
 use Speech::{Kserve as V2, Platform};
 
 /// One at a time: they share the scheduler's one thread, and hold it.
@@ -143,7 +143,7 @@
     let request = front.leave(how);
     assert!(!request.gone.load(Ordering::Acquire), "its reader is held back");
     assert_eq!(request.sight.as_ref().expect("told").presence(), shows);
-    let ticket = Ticket::call(&request, Instant::now() + Duration::from_secs(20));
+    let ticket = Ticket::call(&request, Terms::within(20_000_000), Instant::now());
     let first = ticket.begin(Instant::now());
     assert_eq!(first, if shows == Presence::Left { Begin::Void } else { Begin::Unread });
     drop(starved.0);
@@ -183,7 +183,7 @@
         ..*request
     });
     let key = AttemptKey { request: 1, attempt: 0 };
-    transport.send(key, &unread, 20_000_000);
+    transport.send(key, &unread, Terms::within(20_000_000));
     drop(starved.0);
     match reports.recv_timeout(Duration::from_secs(20)) {
         Ok(Message::Ended(of, report)) => assert_eq!((of, report.outcome), (key, Outcome::Moot)),
--- a/wrenseam/tests/mute.rs
+++ b/wrenseam/tests/mute.rs
@@ -9,7 +9,7 @@
 use wrenseam::core::{AttemptKey, Message, Payload, Request};
 use wrenseam::limits::Limits;
 use wrenseam::worker::frames::{encode, Frames};
-use wrenseam::worker::{Reports, Transport};
+use wrenseam::worker::{Reports, Terms, Transport};
 
 const CALL: u8 = 2;
 const HOLD: u8 = 6;
@@ -77,7 +77,7 @@
     let limits = Arc::new(Limits::new(192, 1024, &Settings::default()));
     let (queue, reports) = channel();
     let mut transport = Frames::new(listener.local_addr().expect("bound"), limits.clone(), Reports(queue));
-    transport.send(AttemptKey { request: 1, attempt: 0 }, &request(), 60_000_000);
+    transport.send(AttemptKey { request: 1, attempt: 0 }, &request(), Terms::within(60_000_000));
     let mut worker = listener.accept().expect("a connection").0;
     assert_eq!(frame(&mut worker), (9, CALL));
     let outlast = |transport: &mut Frames| {
--- a/wrenseam/tests/transport.rs
+++ b/wrenseam/tests/transport.rs
@@ -1,83 +1,17 @@
 //! The transport of frames against sockets: what it writes, and when it lets connections go.
-use bramblepath::{Outcome, Settings};
+mod link;
+
+use bramblepath::Outcome;
+use link::{frame, late_worker, outcome, request, say, transport, FIRST};
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
-use std::sync::{mpsc, Arc};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use wrenseam::core::{AttemptKey, Message, Payload, Request};
-use wrenseam::limits::Limits;
-use wrenseam::worker::frames::{encode, Frames};
-use wrenseam::worker::{Reports, Transport};
-
-/// A worker whose next connection comes up only once those that fill its queue are taken.
-fn late_worker() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
-    socket.listen(0).expect("listens");
-    let listener = TcpListener::from(socket);
-    let address = listener.local_addr().expect("bound");
-    let mut fillers = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
-        fillers.push(stream);
-    }
-    (listener, address, fillers)
-}
-
-fn transport(address: SocketAddr, change: impl FnOnce(&mut Limits)) -> (Frames, mpsc::Receiver<Message>) {
-    may::config().set_workers(1).set_worker_pin(false); // as the program has it
-    let mut limits = Limits::new(192, 1024, &Settings::default());
-    change(&mut limits);
-    let (queue, reports) = mpsc::channel();
-    (Frames::new(address, Arc::new(limits), Reports(queue)), reports)
-}
-
-fn request(wire_id: u64) -> Arc<Request> {
-    Arc::new(Request {
-        wire_id,
-        class: "c".to_owned(),
-        tenant: "t".to_owned(),
-        function: 7,
-        wait: 20_000_000,
-        read_at: Instant::now(),
-        token: None,
-        retry: false,
-        memory_mb: 0.0,
-        lanes: 0,
-        load_time: 0,
-        payload: Payload::Bytes(b"body".to_vec()),
-        held: None,
-        gone: Arc::default(),
-        sight: None,
-    })
-}
-
-/// The next frame, its id and code.
-fn frame(stream: &mut TcpStream) -> (u64, u8) {
-    let mut head = [0; 16];
-    stream.read_exact(&mut head).expect("a frame");
-    let fields = usize::from(u16::from_be_bytes([head[2], head[3]]));
-    let body = u32::from_be_bytes(head[4..8].try_into().expect("four")) as usize;
-    stream.read_exact(&mut vec![0; fields + body + 4]).expect("the rest of it");
-    (u64::from_be_bytes(head[8..].try_into().expect("eight")), head[1])
-}
-
-fn say(stream: &mut TcpStream, code: u8, id: u64, fields: &str, body: &[u8]) {
-    let mut answer = encode(code, id, fields, body);
-    answer[0] = 127;
-    stream.write_all(&answer).expect("answered");
-}
-
-fn outcome(reports: &mpsc::Receiver<Message>) -> (usize, Outcome) {
-    match reports.recv_timeout(Duration::from_secs(20)) {
-        Ok(Message::Ended(key, report)) => (key.attempt, report.outcome),
-        Ok(Message::Ordered(_, outcome, _)) => (usize::MAX, outcome),
-        _ => panic!("nothing ended"),
-    }
-}
+use wrenseam::worker::{Terms, Transport};
 
-const FIRST: AttemptKey = AttemptKey { request: 1, attempt: 0 };
 const SECOND: AttemptKey = AttemptKey { request: 1, attempt: 1 };
 
 /// What ends while it waits for a connection that comes up late: it is never written, and it is known that it never
@@ -99,7 +33,7 @@
     let (request, budget) = (request(9), if event == "late" { 1_000 } else { 20_000_000 });
     match what {
         "order" => transport.order(1, 7, 1),
-        _ => transport.send(FIRST, &request, budget),
+        _ => transport.send(FIRST, &request, Terms::within(budget)),
     }
     match event {
         "drain" => transport.retire(),
@@ -118,7 +52,7 @@
         Some(end) => assert_eq!(outcome(&reports).1, end),
         None => {
             // The next call goes out on that connection, and nothing before it.
-            transport.send(SECOND, &self::request(10), budget);
+            transport.send(SECOND, &self::request(10), Terms::within(budget));
             assert_eq!(frame(accepted.last_mut().expect("the late one")), (10, 2));
             say(accepted.last_mut().expect("the late one"), 203, 10, "", b"");
             assert_eq!(outcome(&reports), (1, Outcome::Full));
@@ -139,18 +73,18 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let (mut transport, reports) = transport(listener.local_addr().expect("bound"), |_| {});
     let request = request(9);
-    transport.send(FIRST, &request, 20_000_000);
+    transport.send(FIRST, &request, Terms::within(20_000_000));
     let mut first = listener.accept().expect("a connection").0;
     assert_eq!(frame(&mut first), (9, 2));
     assert!(!transport.cancel(FIRST), "it has been written");
     assert_eq!(frame(&mut first), (9, 3), "given up");
-    transport.send(SECOND, &request, 20_000_000);
+    transport.send(SECOND, &request, Terms::within(20_000_000));
     let mut second = listener.accept().expect("a connection of its own").0;
     assert_eq!(frame(&mut second), (9, 2));
     say(&mut first, 203, 9, "", b"");
     say(&mut first, 203, 9, "", b"");
     // Another call on the first connection shows that both have been read.
-    transport.send(AttemptKey { request: 2, attempt: 7 }, &self::request(10), 20_000_000);
+    transport.send(AttemptKey { request: 2, attempt: 7 }, &self::request(10), Terms::within(20_000_000));
     assert_eq!(frame(&mut first), (10, 2));
     say(&mut first, 200, 10, "", b"x");
     assert_eq!(outcome(&reports), (7, Outcome::Ok));
@@ -170,18 +104,18 @@
     let idle = Duration::from_secs(1);
     let (mut transport, reports) = transport(listener.local_addr().expect("bound"), |l| l.worker_idle = idle);
     let call = |n| AttemptKey { request: n, attempt: 0 };
-    transport.send(call(1), &request(1), 20_000_000);
+    transport.send(call(1), &request(1), Terms::within(20_000_000));
     let mut first = listener.accept().expect("a connection").0;
     frame(&mut first);
     std::thread::sleep(idle + idle / 4); // a long call is no idle time
     say(&mut first, 200, 1, "", b"x");
     assert_eq!(outcome(&reports).1, Outcome::Ok);
-    transport.send(call(2), &request(2), 20_000_000);
+    transport.send(call(2), &request(2), Terms::within(20_000_000));
     assert_eq!(frame(&mut first), (2, 2));
     say(&mut first, 200, 2, "", b"x");
     assert_eq!(outcome(&reports).1, Outcome::Ok);
     std::thread::sleep(idle + idle / 4);
-    transport.send(call(3), &request(3), 20_000_000);
+    transport.send(call(3), &request(3), Terms::within(20_000_000));
     assert_eq!(frame(&mut listener.accept().expect("another connection").0), (3, 2));
 }
 
@@ -224,7 +158,7 @@
     };
     let all = 900;
     for n in 0..all {
-        transport.send(AttemptKey { request: n, attempt: 0 }, &call(n), 20_000_000);
+        transport.send(AttemptKey { request: n, attempt: 0 }, &call(n), Terms::within(20_000_000));
     }
     let mut stream = listener.accept().expect("a connection").0;
     let (mut written, mut same) = (0, 0);
