Frames: a write and its count are one step; give-ups end once written

Root causes: 1. worker/frames.rs `write_all` and `break_up`: bytes left by `write_now`, and `written` was raised by a later `fetch_add`. A reader that ended the connection between the two compared `end <= written` and told a frame that was wholly out as ConnectFailed: it is sent again. 2. core/mod.rs Action::Cancel told the module `Cancelled` as soon as the cancel was queued; where two attempts must not be out together the next one could arrive before the writer, held up by a stall or an unread client, had given the first up. Ruled out: that 1 happens in the program as it is configured. It has one scheduler thread, and no coroutine runs between the write and the count; the order was forced by a write that lets others run before it returns. Also read and ruled out: moved ends beside a break-up (only frames behind the first unwritten byte move), release after EINTR or a short write (a half-written frame keeps its claim), take_back against begin (one word of state). Crate's tests green.

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -15,7 +15,7 @@
 use crate::fleet::Lifecycle;
 use crate::limits::Limits;
 use crate::membership::{Change, Duty, Membership};
-use crate::worker::{pool, transport, Reports, Terms, Transport};
+use crate::worker::{pool, transport, GiveUp, Reports, Terms, Transport};
 use bramblepath::json::position;
 use bramblepath::{
     Action, Controller, Effect, Entry, Event, Micros, Outcome, Settings, WorkerState, ZoneNames,
@@ -102,10 +102,12 @@
         std::iter::once(&mut self.transport).chain(&mut self.former)
     }
 
-    /// Gives an attempt up, wherever it is. True proves that nothing of it was or will be written.
-    fn cancel(&mut self, key: AttemptKey) -> bool {
-        // Not `any`, which would pass over the others after the first.
-        self.each().fold(false, |back, t| t.cancel(key) | back)
+    /// Gives an attempt up, wherever it is.
+    fn cancel(&mut self, key: AttemptKey) -> GiveUp {
+        self.each().map(|t| t.cancel(key)).fold(GiveUp::Unknown, |found, told| match told {
+            GiveUp::Unknown => found,
+            told => told,
+        })
     }
 
     fn is_idle(&self) -> bool {
@@ -422,8 +424,9 @@
                 if let Some(attempt) = open.filter(|a| a.open) {
                     let peer = self.peers.get_mut(&attempt.worker);
                     // What was taken back in time has not run: its class may allow more.
-                    let back = peer.is_some_and(|p| p.cancel(key));
-                    let outcome = if back { Outcome::ConnectFailed } else { Outcome::Timeout };
+                    let given_up = peer.map_or(GiveUp::Unknown, |p| p.cancel(key));
+                    let never_ran = given_up == GiveUp::NeverBegun;
+                    let outcome = if never_ran { Outcome::ConnectFailed } else { Outcome::Timeout };
                     self.ended(key, Report::bare(outcome));
                 }
             }
@@ -480,16 +483,7 @@
         let now = self.clock.now();
         match action {
             Action::Send { id, worker, timeout, window } => self.send(now, id, worker, (timeout, window)),
-            Action::Cancel { id, attempt } => {
-                let key = AttemptKey { request: id, attempt };
-                let of = self.requests.get(&id).and_then(|o| o.attempts.get(attempt)).filter(|a| a.open);
-                if let Some(attempt) = of {
-                    let back = self.peers.get_mut(&attempt.worker).is_some_and(|p| p.cancel(key));
-                    let outcome = if back { Outcome::Moot } else { Outcome::Cancelled };
-                    self.end(key, Report::bare(outcome));
-                    self.forget(id);
-                }
-            }
+            Action::Cancel { id, attempt } => self.cancel(AttemptKey { request: id, attempt }),
             Action::Refuse { id, retry_after } => {
                 self.answer(id, Answer::Refused { wait: retry_after });
                 self.forget(id);
@@ -523,6 +517,22 @@
         }
     }
 
+    /// Calls an attempt off. While its request is owed an answer it stays open until its worker has been told: what the
+    /// module sends in its place must not be out beside it.
+    fn cancel(&mut self, key: AttemptKey) {
+        let Some(open) = self.requests.get(&key.request) else { return };
+        let Some(attempt) = open.attempts.get(key.attempt).filter(|a| a.open) else { return };
+        let owed = !open.answered;
+        let peer = self.peers.get_mut(&attempt.worker);
+        let outcome = match peer.map_or(GiveUp::Unknown, |p| p.cancel(key)) {
+            GiveUp::NeverBegun => Outcome::Moot,
+            GiveUp::Pending if owed => return, // its report follows; its time-out should that stay out
+            GiveUp::Pending | GiveUp::Unknown => Outcome::Cancelled,
+        };
+        self.end(key, Report::bare(outcome));
+        self.forget(key.request);
+    }
+
     /// Whether a call to this worker finds a connection or may open one: where descriptors run short, the
     /// connections idle longest close for it, whoever they lead to.
     fn room(&mut self, worker: &str) -> bool {
--- a/wrenseam/src/net.rs
+++ b/wrenseam/src/net.rs
@@ -7,7 +7,7 @@
 use may::sync::{Mutex, MutexGuard};
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock, Weak};
 use std::time::{Duration, Instant};
@@ -44,6 +44,34 @@
     matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock | ErrorKind::Interrupted)
 }
 
+/// The system calls on connections to workers, behind which tests put short and failing ones.
+pub trait SystemCalls: Send + Sync {
+    /// Connects within a span of time.
+    ///
+    /// # Errors
+    /// No connection stands: nothing was written.
+    fn connect(&self, address: &SocketAddr, within: Duration) -> io::Result<TcpStream>;
+
+    /// Writes what goes out at once, and never waits.
+    ///
+    /// # Errors
+    /// Nothing was written.
+    fn write(&self, stream: &TcpStream, bytes: &[u8]) -> io::Result<usize>;
+}
+
+/// The machine's own calls.
+pub struct DirectCalls;
+
+impl SystemCalls for DirectCalls {
+    fn connect(&self, address: &SocketAddr, within: Duration) -> io::Result<TcpStream> {
+        TcpStream::connect_timeout(address, within)
+    }
+
+    fn write(&self, stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
+        write_now(stream, bytes)
+    }
+}
+
 /// Writes what goes out at once, and never waits: `WouldBlock` if nothing does.
 pub fn write_now(stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
     let mut inner = stream.inner();
--- /dev/null
+++ b/wrenseam/src/worker/frames/reader.rs
@@ -0,0 +1,80 @@
+//! The reading side of one connection to a worker: answers, each to the exchange that it belongs to.
+use super::super::Reports;
+use super::codec::{outcome, Decoder};
+use super::connection::{State, What};
+use crate::core::{Payload, Report};
+use crate::limits::Limits;
+use crate::net::timed_out;
+use crate::ring::Ring;
+use bramblepath::Outcome;
+use may::net::TcpStream;
+use std::net::Shutdown;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+/// Reads answers until the connection ends.
+pub(super) fn read_answers(
+    mut stream: TcpStream, state: &State, reports: &Reports, limits: &Limits,
+) -> Result<(), String> {
+    let (mut ring, mut decoder) = (Ring::new(limits.worker_ring), Decoder::default());
+    stream.set_read_timeout(Some(limits.frame_stall)).map_err(|e| e.to_string())?;
+    let end = loop {
+        match ring.fill(&mut stream) {
+            Ok(0) => break Ok(()),
+            Ok(_) => {}
+            // Guards against an answer that stops short: nothing more comes behind it.
+            // (What came while we stood still lies there unread: that is no stop.)
+            Err(e) if timed_out(&e) && decoder.midway() && nothing_lies(&stream) => {
+                break Err("a frame stopped midway".to_owned())
+            }
+            Err(e) if timed_out(&e) => continue,
+            Err(e) => break Err(e.to_string()),
+        }
+        match answers(&mut decoder, &mut ring, state, reports, limits.answer) {
+            Ok(()) => {}
+            // Guards against a stream that is out of step: nothing after this can be trusted.
+            Err(why) => break Err(format!("bad frame: {why}")),
+        }
+    };
+    let _ = stream.shutdown(Shutdown::Both);
+    end
+}
+
+/// Whether nothing that came lies unread.
+pub(super) fn nothing_lies(stream: &TcpStream) -> bool {
+    matches!(stream.inner().peek(&mut [0]), Err(e) if timed_out(&e))
+}
+
+fn answers(
+    decoder: &mut Decoder, ring: &mut Ring, state: &State, reports: &Reports, most: usize,
+) -> Result<(), String> {
+    while let Some(frame) = decoder.next(ring, most)? {
+        let outcome = outcome(frame.code).ok_or_else(|| format!("code {}", frame.code))?;
+        let exchange = {
+            let mut table = state.table.lock().map_err(|_| "poisoned")?;
+            table.heard = Some(Instant::now());
+            table.open.remove(&frame.id)
+        };
+        // An answer to what has ended already comes late and is dropped.
+        let Some(exchange) = exchange else { continue };
+        exchange.ticket.end();
+        state.load.fetch_sub(1, Ordering::AcqRel);
+        let number = |name: &str| frame.field(name).and_then(|v| v.parse().ok());
+        match exchange.what {
+            What::Order(order) => reports.ordered(order, outcome, number("slots_up").unwrap_or(0)),
+            What::Probe => {}
+            What::Attempt(key) => {
+                let warm = match frame.field("detail") {
+                    Some("resident") => Some(true),
+                    Some("booted" | "rode") => Some(false),
+                    _ => None,
+                };
+                let told = matches!(outcome, Outcome::Ok | Outcome::Full);
+                let crowd = if told { number("company") } else { None };
+                let payload = (outcome == Outcome::Ok).then_some(Payload::Bytes(frame.body));
+                reports.ended(key, Report { outcome, warm, crowd, payload });
+            }
+        }
+    }
+    Ok(())
+}
--- a/wrenseam/src/worker/kserve.rs
+++ b/wrenseam/src/worker/kserve.rs
@@ -1,7 +1,7 @@
 //! KServe v2 over HTTP/1.1 to one worker: each connection carries one exchange at a time. Loads, questions
 //! and unloads use the model repository extension.
 use super::ticket::{Begin, Ticket, LOOK_AGAIN};
-use super::{Reports, Terms, Transport};
+use super::{GiveUp, Reports, Terms, Transport};
 use crate::core::{AttemptKey, Payload, Report, Request};
 use crate::http::{Chunked, Coded, Head};
 use crate::limits::Limits;
@@ -180,11 +180,15 @@
         self.start(What::Attempt(key, foreign), bytes, true, budget, ticket);
     }
 
-    fn cancel(&mut self, key: AttemptKey) -> bool {
-        let Some(at) = self.out.iter().position(|o| o.0 == key) else { return false };
+    fn cancel(&mut self, key: AttemptKey) -> GiveUp {
+        let Some(at) = self.out.iter().position(|o| o.0 == key) else { return GiveUp::Unknown };
         let (_, ticket, cancelled) = self.out.swap_remove(at);
         cancelled.store(true, Ordering::Release);
-        ticket.take_back()
+        if ticket.take_back() {
+            GiveUp::NeverBegun
+        } else {
+            GiveUp::Pending
+        }
     }
 
     fn lapse(&mut self, _order: u64) {} // each exchange ends its connection by itself, see `Job::until`
@@ -255,10 +259,11 @@
     }
 
     fn job(&mut self, job: &Job) {
-        let ended = self.exchange(job);
-        if job.cancelled.load(Ordering::Acquire) {
-            return; // the core has ended it already
-        }
+        let ended = match self.exchange(job) {
+            // The connection has ended, by which the worker is told.
+            Err(Outcome::Reset) if job.cancelled.load(Ordering::Acquire) => Err(Outcome::Cancelled),
+            ended => ended,
+        };
         match &job.what {
             What::Attempt(key, foreign) => {
                 let report = match ended {
--- a/wrenseam/src/worker/mod.rs
+++ b/wrenseam/src/worker/mod.rs
@@ -28,6 +28,17 @@
     }
 }
 
+/// What is known of an attempt that is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GiveUp {
+    /// No byte of it was or will be written: it never ran, and nothing is reported of it.
+    NeverBegun,
+    /// It may run. Its end is reported once its worker has been told, or its connection has ended.
+    Pending,
+    /// Nothing of it is open here.
+    Unknown,
+}
+
 /// How long an attempt may wait, and may take to be written.
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
@@ -47,10 +58,10 @@
 
 /// The way to one worker. No call blocks; everything is carried out by coroutines.
 pub trait Transport: Send {
-    /// Sends an attempt; exactly one report follows, unless it is cancelled first.
+    /// Sends an attempt; exactly one report follows, unless it is given up before it was begun.
     fn send(&mut self, key: AttemptKey, request: &Arc<Request>, terms: Terms);
-    /// Gives an attempt up; what is not yet begun is not written. True proves that no byte of it was or will be.
-    fn cancel(&mut self, key: AttemptKey) -> bool;
+    /// Gives an attempt up; what is not yet begun is not written.
+    fn cancel(&mut self, key: AttemptKey) -> GiveUp;
     /// Gives an order's answer up: it is awaited no more.
     fn lapse(&mut self, order: u64);
     /// Whether no connection is left.
--- /dev/null
+++ b/wrenseam/tests/broken_connections.rs
@@ -0,0 +1,127 @@
+//! A connection that breaks beside a write: a frame that is wholly out may have run, whoever ends the connection, and
+//! nothing is written once it has ended.
+mod link;
+
+use bramblepath::{Outcome, Settings};
+use link::{frame, outcome, request, FIRST};
+use may::net::TcpStream as MayStream;
+use rstest::rstest;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use wrenseam::core::Message;
+use wrenseam::limits::Limits;
+use wrenseam::net::{DirectCalls, SystemCalls};
+use wrenseam::worker::frames::progress::Progress;
+use wrenseam::worker::frames::Frames;
+use wrenseam::worker::{GiveUp, Reports, Terms, Transport};
+
+const LONG: u64 = 20_000_000;
+
+/// How long a write is held for whoever should not get on before it returns.
+const HELD: Duration = Duration::from_millis(500);
+
+/// The machine's calls, but a write tells that its bytes are out and then waits until it is let go. Only the writer's
+/// coroutine waits: the reader's runs on.
+struct HeldWrites {
+    written: Mutex<Sender<usize>>,
+    go_on: may::sync::mpmc::Receiver<()>,
+}
+
+impl SystemCalls for HeldWrites {
+    fn connect(&self, address: &SocketAddr, within: Duration) -> io::Result<MayStream> {
+        DirectCalls.connect(address, within)
+    }
+
+    fn write(&self, stream: &MayStream, bytes: &[u8]) -> io::Result<usize> {
+        let n = DirectCalls.write(stream, bytes)?;
+        let _ = self.written.lock().expect("sound").send(n);
+        let _ = self.go_on.recv();
+        Ok(n)
+    }
+}
+
+fn abort(stream: TcpStream) {
+    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
+    drop(stream); // sends a reset
+}
+
+/// The worker has read the frame whole and ends its connection while the write that carried it has not returned: the
+/// call may have run, and is not reported as one that never did.
+#[rstest]
+fn a_frame_whose_write_has_not_returned_may_have_run(#[values("close", "reset")] end: &str) {
+    may::config().set_workers(1).set_worker_pin(false); // as the program has it
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let (written, is_written) = channel();
+    let (let_go, go_on) = may::sync::mpmc::channel();
+    let calls = HeldWrites { written: Mutex::new(written), go_on };
+    let (queue, reports) = channel::<Message>();
+    let limits = Arc::new(Limits::new(192, 1024, &Settings::default()));
+    let mut transport = Frames::new(address, limits, Reports(queue)).with_calls(Arc::new(calls));
+    transport.send(FIRST, &request(9), Terms::within(LONG));
+    let mut stream = listener.accept().expect("a connection").0;
+    assert_eq!(frame(&mut stream), (9, 2), "it has come whole");
+    is_written.recv_timeout(Duration::from_secs(20)).expect("written");
+    match end {
+        "reset" => abort(stream),
+        _ => drop(stream),
+    }
+    if let Ok(Message::Ended(_, report)) = reports.recv_timeout(HELD) {
+        panic!("{:?} was told while the write had not returned", report.outcome);
+    }
+    let_go.send(()).expect("the write waits");
+    assert_eq!(outcome(&reports), (0, Outcome::Reset));
+}
+
+/// Whoever ends a connection's writing waits for the write that is being made, and none follows.
+#[test]
+fn an_end_counts_the_write_that_is_being_made() {
+    let progress = Arc::new(Progress::default());
+    let (told, total) = channel();
+    let (ending, begins) = channel();
+    let ended = progress.clone();
+    let other = std::thread::spawn(move || {
+        begins.recv().expect("a write is being made");
+        told.send(ended.end()).expect("heard");
+    });
+    let during = progress.write(|| {
+        ending.send(()).expect("the other waits");
+        assert!(total.recv_timeout(HELD).is_err(), "it ended in the middle of a write");
+        Ok(10)
+    });
+    assert_eq!(during.expect("written"), 10);
+    assert_eq!(total.recv().expect("told"), 10);
+    other.join().expect("ended");
+    assert!(progress.write(|| panic!("written after the end")).is_err());
+}
+
+/// An attempt that is called off has ended once its worker has been told so, and not before: another attempt of its
+/// request may follow at once, and where two must not be out together the first is over by then.
+#[test]
+fn an_attempt_is_called_off_once_its_worker_has_been_told() {
+    may::config().set_workers(1).set_worker_pin(false); // as the program has it
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let (written, is_written) = channel();
+    let (let_go, go_on) = may::sync::mpmc::channel();
+    let calls = HeldWrites { written: Mutex::new(written), go_on };
+    let (queue, reports) = channel::<Message>();
+    let limits = Arc::new(Limits::new(192, 1024, &Settings::default()));
+    let mut transport = Frames::new(address, limits, Reports(queue)).with_calls(Arc::new(calls));
+    transport.send(FIRST, &request(9), Terms::within(LONG));
+    let mut stream = listener.accept().expect("a connection").0;
+    assert_eq!(frame(&mut stream), (9, 2));
+    is_written.recv().expect("written");
+    assert_eq!(transport.cancel(FIRST), GiveUp::Pending);
+    assert!(reports.try_recv().is_err(), "the writer has not even got to it");
+    let_go.send(()).expect("the write waits");
+    is_written.recv().expect("the give-up is written");
+    assert!(reports.try_recv().is_err(), "told before its write returned");
+    let_go.send(()).expect("the write waits");
+    assert_eq!(outcome(&reports), (0, Outcome::Cancelled));
+    assert_eq!(frame(&mut stream), (9, 3));
+    assert_eq!(transport.cancel(FIRST), GiveUp::Unknown, "it has ended");
+}
--- /dev/null
+++ b/wrenseam/tests/send_queue.rs
@@ -0,0 +1,107 @@
+//! Who decides whether a waiting frame is begun, and what is cut out of a connection's queue.
+use rstest::rstest;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use wrenseam::core::AttemptKey;
+use wrenseam::worker::frames::send_queue::{Cut, QueuedFrame, SendQueue};
+use wrenseam::worker::ticket::{Begin, Ticket};
+
+fn ticket() -> Arc<Ticket> {
+    Ticket::new(Arc::default(), Instant::now() + Duration::from_secs(60))
+}
+
+/// Of two that cross, the first decides and the other is told.
+#[test]
+fn a_call_is_begun_or_taken_back_never_both() {
+    let now = Instant::now();
+    let (first, second) = (ticket(), ticket());
+    assert!(first.take_back() && first.begin(now) == Begin::Back && !first.end());
+    assert!(second.begin(now) == Begin::Go && !second.take_back() && second.end());
+    let third = ticket();
+    assert_eq!(third.begin(now), Begin::Go);
+    third.release(); // no byte of it was written
+    assert!(third.take_back());
+}
+
+/// A client that has left, or a time that is up, voids what has not begun.
+#[test]
+fn nothing_is_begun_for_a_client_that_left_or_after_its_time() {
+    let (gone, now) = (Arc::new(AtomicBool::new(false)), Instant::now());
+    let for_client = Ticket::new(gone.clone(), now + Duration::from_secs(60));
+    gone.store(true, Ordering::Release);
+    assert_eq!((for_client.begin(now), for_client.take_back()), (Begin::Void, false));
+    let late = Ticket::new(Arc::default(), now);
+    assert_eq!(late.begin(now + Duration::from_millis(1)), Begin::Void);
+}
+
+/// Frames 1, 2 (an unload, owed nothing) and 3 of ten bytes each, of which so many are written; then one is taken
+/// back, or all bound ones are withheld. What is cut, and where the last one ends now.
+#[rstest]
+#[case::none_begun(0, Some(1), vec![(0, Some(1))], 20)]
+#[case::begun_in_part(1, Some(1), vec![], 30)]
+#[case::behind_a_begun_one(4, Some(3), vec![(16, Some(3))], 20)]
+#[case::a_drain(4, None, vec![(16, Some(3))], 20)]
+#[case::a_drain_before_any(0, None, vec![(0, Some(1)), (10, Some(3))], 10)]
+fn what_is_not_begun_is_cut_and_the_rest_moves_up(
+    #[case] written: u64, #[case] taken: Option<u64>, #[case] cuts: Vec<(usize, Option<u64>)>,
+    #[case] end: u64,
+) {
+    let mut line = SendQueue::default();
+    for id in [Some(1), None, Some(3)] {
+        line.join(QueuedFrame {
+            id,
+            bound: id.is_some(),
+            ticket: id.map(|_| ticket()),
+            len: 10,
+            ..QueuedFrame::default()
+        });
+    }
+    line.written(written);
+    let got = line.cut_where(written, |p| p.bound && taken.is_none_or(|t| p.id == Some(t)));
+    assert_eq!(got.iter().map(|c| (c.at, c.id)).collect::<Vec<_>>(), cuts);
+    assert!(got.iter().all(|c| c.ends && c.len == 10));
+    assert_eq!(
+        line.join(QueuedFrame { len: 5, ..QueuedFrame::default() }),
+        end + 5,
+        "where the last one ends now"
+    );
+}
+
+/// While a write stalls only the next frame is claimed: those behind can still be taken back.
+#[test]
+fn a_stalled_write_holds_one_frame_at_the_most() {
+    let (mut line, now) = (SendQueue::default(), Instant::now());
+    let tickets = [ticket(), ticket(), ticket()];
+    for (n, t) in tickets.iter().enumerate() {
+        line.join(QueuedFrame {
+            id: Some(n as u64),
+            bound: true,
+            ticket: Some(t.clone()),
+            len: 10,
+            ..QueuedFrame::default()
+        });
+    }
+    assert_eq!(line.claim(0, now, false), (30, vec![]));
+    line.written(0); // nothing could be written
+    assert!(tickets[1].take_back());
+    assert_eq!(line.claim(0, now, true), (10, vec![]));
+    line.written(10);
+    let cut = Cut { at: 0, len: 10, id: Some(1), ends: false };
+    assert_eq!(line.claim(10, now, true), (10, vec![cut]));
+}
+
+/// An attempt counts as given up once the frame that says so is written whole, also where frames before it are cut.
+#[test]
+fn a_give_up_is_confirmed_by_its_last_byte() {
+    let (mut line, now) = (SendQueue::default(), Instant::now());
+    let taken = ticket();
+    let key = AttemptKey { request: 7, attempt: 1 };
+    line.join(QueuedFrame { id: Some(1), ticket: Some(taken.clone()), len: 10, ..QueuedFrame::default() });
+    line.join(QueuedFrame { confirms: Some(key), len: 20, ..QueuedFrame::default() });
+    assert!(taken.take_back());
+    assert_eq!(line.claim(0, now, false).0, 20);
+    assert_eq!(line.written(19), []);
+    assert_eq!(line.written(20), [key]);
+    assert_eq!(line.take_confirmations().count(), 0, "it is told once");
+}
--- a/wrenseam/tests/transport.rs
+++ b/wrenseam/tests/transport.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use wrenseam::core::{AttemptKey, Message, Payload, Request};
-use wrenseam::worker::{Terms, Transport};
+use wrenseam::worker::{GiveUp, Terms, Transport};
 
 const SECOND: AttemptKey = AttemptKey { request: 1, attempt: 1 };
 
@@ -38,7 +38,9 @@
     match event {
         "drain" => transport.retire(),
         "leave" => request.gone.store(true, Ordering::Release),
-        "cancel" => assert!(transport.cancel(FIRST), "no byte of it can have been written"),
+        "cancel" => {
+            assert_eq!(transport.cancel(FIRST), GiveUp::NeverBegun, "no byte of it can have been written")
+        }
         _ => {
             let since = Instant::now();
             while since.elapsed() <= Duration::from_micros(budget) {
@@ -76,8 +78,9 @@
     transport.send(FIRST, &request, Terms::within(20_000_000));
     let mut first = listener.accept().expect("a connection").0;
     assert_eq!(frame(&mut first), (9, 2));
-    assert!(!transport.cancel(FIRST), "it has been written");
+    assert_eq!(transport.cancel(FIRST), GiveUp::Pending, "it has been written");
     assert_eq!(frame(&mut first), (9, 3), "given up");
+    assert_eq!(outcome(&reports), (0, Outcome::Cancelled), "its worker has been told");
     transport.send(SECOND, &request, Terms::within(20_000_000));
     let mut second = listener.accept().expect("a connection of its own").0;
     assert_eq!(frame(&mut second), (9, 2));
