KServe v2: an answer that proves that nothing ran must be the answer to this call

Root causes in worker/kserve.rs, each a wrong "never ran" (the same mistake as in frames, on the other transport): 1. `outcome`: any 503 counted as Full. A proxy before the worker says 503 too when it loses the answer to a call that it passed on. 2. `exchange`: a connection was used again after 404, 429 and 503, which name no call; a second one that came late was taken for the next call's answer. 3. `exchange`: the idle connection was looked at before `begin`, which may wait; what came meanwhile was read as the call's answer. 4. `attempt_report`: a 200 that names another call's id was taken for this call's. Also `begin` that was refused gave a kept connection a new idle time. Ruled out: ConnectFailed after a failed write (the request is not whole, and the connection ends with it), a kept connection that the worker closes under a call (Reset: it may have run), interim answers (passed over), half an answer (Reset). The stand-in worker of the tests says Retry-After with its 503, as this program does.

--- a/wrenseam/src/http.rs
+++ b/wrenseam/src/http.rs
@@ -17,6 +17,8 @@
     pub close: bool,
     /// Whether the client waits to be told to go on.
     pub expects: bool,
+    /// Whether an answer says when to come back.
+    pub retry_after: bool,
 }
 
 impl Head {
@@ -54,6 +56,7 @@
                 }
                 "transfer-encoding" => self.chunked = value == "chunked",
                 "connection" => self.close = value == "close" || self.close && value != "keep-alive",
+                "retry-after" => self.retry_after = !value.is_empty(),
                 "expect" => self.expects = value == "100-continue",
                 _ => {}
             }
--- /dev/null
+++ b/wrenseam/src/worker/kserve/mod.rs
@@ -0,0 +1,183 @@
+//! KServe v2 over HTTP/1.1 to one worker: each connection carries one exchange at a time. Loads, questions
+//! and unloads use the model repository extension.
+mod lane;
+mod messages;
+
+pub use messages::{unwrap_answer, wrap_answer};
+
+use super::ticket::Ticket;
+use super::{GiveUp, Reports, Terms, Transport};
+use crate::core::{AttemptKey, Payload, Request};
+use crate::limits::Limits;
+use crate::net::spawn;
+use bramblepath::{FunctionId, Micros};
+use lane::Lane;
+use may::sync::mpmc::{channel, Receiver, Sender};
+use messages::wrap_call;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What an answer has to be told apart by.
+struct Call {
+    /// The id that the worker was told.
+    wire_id: u64,
+    /// Whether its body is the platform's, so that the answer must be unwrapped.
+    wrapped: bool,
+}
+
+enum What {
+    Attempt(AttemptKey, Call),
+    /// An order to hold copies of this function, 0 to ask.
+    Order(u64, FunctionId, u32),
+    Unload,
+}
+
+/// One exchange: its request as bytes, and how it is taken back.
+struct Job {
+    what: What,
+    bytes: Vec<u8>,
+    /// Who decides whether it is begun.
+    ticket: Arc<Ticket>,
+    cancelled: Arc<AtomicBool>,
+    /// Of which life of the worker this is; calls and loads of a past one are not written.
+    epoch: u64,
+    bound: bool,
+    /// A worker silent beyond this has its connection closed, so that no lane is lost to it.
+    until: Instant,
+}
+
+/// What the core's side and the connections share.
+#[derive(Default)]
+struct State {
+    epoch: AtomicU64,
+    /// Jobs handed over and not ended.
+    load: AtomicUsize,
+    lanes: AtomicUsize,
+}
+
+/// The transport to one v2 worker.
+pub struct Kserve {
+    address: SocketAddr,
+    limits: Arc<Limits>,
+    reports: Reports,
+    state: Arc<State>,
+    jobs: Sender<Job>,
+    queue: Receiver<Job>,
+    out: Vec<(AttemptKey, Arc<Ticket>, Arc<AtomicBool>)>,
+}
+
+impl Kserve {
+    /// No connection is opened before it is needed.
+    pub fn new(address: SocketAddr, limits: Arc<Limits>, reports: Reports) -> Self {
+        let (jobs, queue) = channel();
+        Kserve { address, limits, reports, state: Arc::default(), jobs, queue, out: Vec::new() }
+    }
+
+    /// An order, a question or an unload: an order that waited for long is not begun, it would count when it arrives.
+    fn start_order(&mut self, what: What, bytes: Vec<u8>, bound: bool) {
+        let begun = if matches!(what, What::Order(..)) {
+            self.limits.connect + self.limits.write_check
+        } else {
+            Duration::from_micros(self.limits.order)
+        };
+        let ticket = Ticket::new(Arc::default(), Instant::now() + begun);
+        self.start(what, bytes, bound, self.limits.order, ticket);
+    }
+
+    fn start(&mut self, what: What, bytes: Vec<u8>, bound: bool, budget: Micros, ticket: Arc<Ticket>) {
+        let cancelled = Arc::new(AtomicBool::new(false));
+        if let What::Attempt(key, _) = what {
+            self.out.retain(|(_, _, flag)| Arc::strong_count(flag) > 1);
+            self.out.push((key, ticket.clone(), cancelled.clone()));
+        }
+        let epoch = self.state.epoch.load(Ordering::Acquire);
+        let until = Instant::now() + Duration::from_micros(budget);
+        let load = self.state.load.fetch_add(1, Ordering::AcqRel) + 1;
+        let _ = self.jobs.send(Job { what, bytes, ticket, cancelled, epoch, bound, until }); // its timer ends it at last
+        let lanes = self.state.lanes.load(Ordering::Acquire);
+        if load > lanes && lanes < self.limits.lanes_per_worker {
+            self.state.lanes.fetch_add(1, Ordering::AcqRel);
+            let (address, limits, reports) = (self.address, self.limits.clone(), self.reports.clone());
+            let (state, queue) = (self.state.clone(), self.queue.clone());
+            let lane = move || Lane { address, limits, reports, state, stream: None }.run(&queue);
+            if let Err(e) = spawn(self.limits.stack, lane) {
+                self.state.lanes.fetch_sub(1, Ordering::AcqRel);
+                note!("worker {}: no coroutine: {e}", self.address);
+            }
+        }
+    }
+
+    fn post(&self, path: &str, budget: Micros, body: &[u8]) -> Vec<u8> {
+        let (host, length, budget) = (self.address, body.len(), budget / 1000);
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/json\r\n\
+             Content-Length: {length}\r\nX-Budget-Ms: {budget}\r\n\r\n"
+        );
+        [head.as_bytes(), body].concat()
+    }
+}
+
+impl Transport for Kserve {
+    fn send(&mut self, key: AttemptKey, request: &Arc<Request>, terms: Terms) {
+        let budget = terms.budget;
+        let path = format!("/v2/models/{:016x}/infer", request.function);
+        let (bytes, wrapped) = match &request.payload {
+            Payload::Json(body) => (self.post(&path, budget, body), false),
+            Payload::Bytes(body) => (self.post(&path, budget, &wrap_call(request, body, budget)), true),
+        };
+        let ticket = Ticket::call(request, terms, Instant::now());
+        self.start(
+            What::Attempt(key, Call { wire_id: request.wire_id, wrapped }),
+            bytes,
+            true,
+            budget,
+            ticket,
+        );
+    }
+
+    fn cancel(&mut self, key: AttemptKey) -> GiveUp {
+        let Some(at) = self.out.iter().position(|o| o.0 == key) else { return GiveUp::Unknown };
+        let (_, ticket, cancelled) = self.out.swap_remove(at);
+        cancelled.store(true, Ordering::Release);
+        if ticket.take_back() {
+            GiveUp::NeverBegun
+        } else {
+            GiveUp::Pending
+        }
+    }
+
+    fn lapse(&mut self, _order: u64) {} // each exchange ends its connection by itself, see `Job::until`
+
+    fn is_idle(&self) -> bool {
+        self.state.load.load(Ordering::Acquire) == 0
+    }
+
+    fn order(&mut self, order: u64, function: FunctionId, copies: u32) {
+        let bytes = if copies > 0 {
+            let body = messages::hold(copies);
+            let path = format!("/v2/repository/models/{function:016x}/load");
+            self.post(&path, self.limits.order, body.as_bytes())
+        } else {
+            self.post("/v2/repository/index", self.limits.order, b"{\"ready\":true}")
+        };
+        self.start_order(What::Order(order, function, copies), bytes, copies > 0);
+    }
+
+    fn unload(&mut self, function: FunctionId) {
+        let path = format!("/v2/repository/models/{function:016x}/unload");
+        let bytes = self.post(&path, self.limits.order, b"{}");
+        self.start_order(What::Unload, bytes, false);
+    }
+
+    fn retire(&mut self) {
+        self.state.epoch.fetch_add(1, Ordering::AcqRel);
+    }
+
+    fn pulse(&mut self) {} // a connection carries one exchange: its silence is the exchange's
+
+    fn sweep(&mut self) {
+        self.out.retain(|(_, _, flag)| Arc::strong_count(flag) > 1); // idle connections close by themselves
+    }
+}
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -711,7 +711,9 @@
                     r#"{{"parameters":{{"detail":"resident"}},"outputs":[{{"name":"body","shape":[1],"datatype":"BYTES","data":["{body}"]}}]}}"#
                 );
                 let body = if code == 200 { &data } else { r#"{"error":"no"}"# };
-                format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+                let told = if code == 203 { "Retry-After: 1\r\n" } else { "" };
+                format!("HTTP/1.1 {status}\r\n{told}Content-Length: {}\r\n\r\n{body}", body.len())
+                    .into_bytes()
             }
         };
         let (half, last) = (*answer == ["half"], bytes.len() - 1);
--- /dev/null
+++ b/wrenseam/tests/kserve_proofs.rs
@@ -0,0 +1,189 @@
+//! What a v2 worker's answer proves of a call: one that says that nothing ran is believed only where it must be the
+//! answer to this call.
+mod link;
+
+use bramblepath::Outcome;
+use link::{outcome, request, transport_of, Protocol};
+use rstest::rstest;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use wrenseam::core::{AttemptKey, Presence, Request, Sight};
+use wrenseam::worker::Terms;
+
+const LONG: u64 = 20_000_000;
+
+/// A refusal that says when to come back.
+const REFUSED: &str = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\n{}";
+
+/// An answer that carries a body and, if any, the call's id.
+fn served(id: Option<u64>) -> String {
+    let id = id.map_or(String::new(), |id| format!(r#""id":"{id:016x}","#));
+    let body =
+        format!(r#"{{{id}"outputs":[{{"name":"body","shape":[1],"datatype":"BYTES","data":["x"]}}]}}"#);
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// A call that has come whole: on the how manieth connection, and the way back.
+type Come = (usize, TcpStream);
+
+/// A worker that tells of each call and leaves the answer to the test.
+fn worker() -> (SocketAddr, Receiver<Come>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let (told, calls) = channel();
+    std::thread::spawn(move || {
+        for (n, stream) in listener.incoming().map_while(Result::ok).enumerate() {
+            let told = told.clone();
+            std::thread::spawn(move || {
+                while let Some(back) = read_call(&stream) {
+                    if told.send((n, back)).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, calls)
+}
+
+fn read_call(mut stream: &TcpStream) -> Option<TcpStream> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).ok()?;
+        head.extend(byte);
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: "))?.parse().ok()?;
+    stream.read_exact(&mut vec![0; length]).ok()?;
+    stream.try_clone().ok()
+}
+
+fn next(calls: &Receiver<Come>) -> Come {
+    calls.recv_timeout(Duration::from_secs(20)).expect("a call")
+}
+
+fn attempt(request: u64) -> AttemptKey {
+    AttemptKey { request, attempt: request as usize }
+}
+
+#[rstest]
+#[case::no_such_model("HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}", Outcome::Miss)]
+#[case::too_many("HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n", Outcome::Full)]
+#[case::refused(REFUSED, Outcome::Full)]
+#[case::refused_behind_an_interim_answer(&format!("HTTP/1.1 103 Early Hints\r\n\r\n{REFUSED}"), Outcome::Full)]
+// A proxy says so too when it has lost the answer to a call that it passed on.
+#[case::unavailable("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", Outcome::Error)]
+#[case::bad_gateway(
+    "HTTP/1.1 502 Bad Gateway\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+    Outcome::Error
+)]
+#[case::timed_out("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n", Outcome::Error)]
+#[case::failed("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", Outcome::Error)]
+#[case::an_interim_answer_alone("HTTP/1.1 100 Continue\r\n\r\n", Outcome::Reset)]
+#[case::nothing("", Outcome::Reset)]
+#[case::half_a_refusal("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Le", Outcome::Reset)]
+#[case::served(&served(None), Outcome::Ok)]
+#[case::served_by_its_id(&served(Some(9)), Outcome::Ok)]
+#[case::served_by_the_id_of_another(&served(Some(8)), Outcome::Reset)]
+fn an_answer_proves(#[case] answer: &str, #[case] proves: Outcome) {
+    let (address, calls) = worker();
+    let (mut transport, reports) = transport_of(Protocol::Kserve, address, |_| {});
+    transport.send(attempt(1), &request(9), Terms::within(LONG));
+    let (_, mut back) = next(&calls);
+    back.write_all(answer.as_bytes()).expect("answered");
+    back.shutdown(Shutdown::Both).expect("open");
+    assert_eq!(outcome(&reports), (1, proves));
+}
+
+/// A refusal comes twice, the second time behind the next call: it is not taken for that call's answer. Refusals name no
+/// call, so the connection that carried one carries no other call.
+#[test]
+fn a_second_refusal_is_not_taken_for_that_of_the_next_call() {
+    let (address, calls) = worker();
+    let (mut transport, reports) = transport_of(Protocol::Kserve, address, |_| {});
+    transport.send(attempt(1), &request(1), Terms::within(LONG));
+    let (first, mut back) = next(&calls);
+    back.write_all(REFUSED.as_bytes()).expect("answered");
+    assert_eq!(outcome(&reports), (1, Outcome::Full));
+    transport.send(attempt(2), &request(2), Terms::within(LONG));
+    let (second, mut other) = next(&calls);
+    let _ = back.write_all(REFUSED.as_bytes()); // the connection may be closed
+    other.write_all(served(Some(2)).as_bytes()).expect("answered");
+    assert_eq!(outcome(&reports), (2, Outcome::Ok));
+    assert_ne!(first, second, "a connection of its own");
+}
+
+/// An answer comes twice, the second time behind the next call on the connection: it names another, so what became of
+/// this one is not known.
+#[test]
+fn a_second_answer_is_not_taken_for_that_of_the_next_call() {
+    let (address, calls) = worker();
+    let (mut transport, reports) = transport_of(Protocol::Kserve, address, |_| {});
+    transport.send(attempt(1), &request(1), Terms::within(LONG));
+    let (first, mut back) = next(&calls);
+    back.write_all(served(Some(1)).as_bytes()).expect("answered");
+    assert_eq!(outcome(&reports), (1, Outcome::Ok));
+    transport.send(attempt(2), &request(2), Terms::within(LONG));
+    let (second, mut back) = next(&calls);
+    assert_eq!(first, second, "a kept connection is used again");
+    back.write_all(served(Some(1)).as_bytes()).expect("answered");
+    assert_eq!(outcome(&reports), (2, Outcome::Reset));
+}
+
+/// The first time that anybody looks at this client, the worker says something unasked on its idle connection.
+#[derive(Debug)]
+struct Meanwhile {
+    worker: Mutex<TcpStream>,
+    said: AtomicBool,
+}
+
+impl Sight for Meanwhile {
+    fn presence(&self) -> Presence {
+        if !self.said.swap(true, Ordering::AcqRel) {
+            let mut worker = self.worker.lock().expect("sound");
+            worker.write_all(REFUSED.as_bytes()).expect("said");
+            let since = Instant::now();
+            while unacknowledged(&worker) && since.elapsed() < Duration::from_secs(20) {
+                std::thread::yield_now();
+            }
+        }
+        Presence::Here
+    }
+}
+
+/// Whether bytes that were written have not come to the other side yet.
+fn unacknowledged(stream: &TcpStream) -> bool {
+    let ports = [stream.local_addr().expect("bound").port(), stream.peer_addr().expect("connected").port()];
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("read");
+    table.lines().skip(1).any(|line| {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let port = |word: &str| word.rsplit(':').next().and_then(|p| u16::from_str_radix(p, 16).ok());
+        let ours = [port(words[1]), port(words[2])] == ports.map(Some);
+        ours && !words[4].starts_with("00000000")
+    })
+}
+
+/// Between the look at an idle connection and the first byte of a call something comes on it: no answer to that call,
+/// which goes out on a connection of its own.
+#[test]
+fn what_comes_before_the_first_byte_is_no_answer() {
+    let (address, calls) = worker();
+    let (mut transport, reports) = transport_of(Protocol::Kserve, address, |_| {});
+    transport.send(attempt(1), &request(1), Terms::within(LONG));
+    let (first, mut back) = next(&calls);
+    back.write_all(served(Some(1)).as_bytes()).expect("answered");
+    assert_eq!(outcome(&reports), (1, Outcome::Ok));
+    let plain = Arc::into_inner(request(2)).expect("ours alone");
+    let sight = Meanwhile { worker: Mutex::new(back), said: AtomicBool::new(false) };
+    let call = Arc::new(Request { sight: Some(Arc::new(sight)), ..plain });
+    transport.send(attempt(2), &call, Terms::within(LONG));
+    let (second, mut back) = next(&calls);
+    back.write_all(served(Some(2)).as_bytes()).expect("answered");
+    assert_eq!(outcome(&reports), (2, Outcome::Ok));
+    assert_ne!(first, second, "a connection of its own");
+}
