Frames: an answer to a frame that is not wholly out ends its connection

Root cause: worker/frames/reader.rs answers() took an exchange out of the table by id alone. A worker that turned a call away in the middle of its frame had it told as Full, while the rest of the frame was still written: it came whole, and the call was sent elsewhere too. Ruled out: late answers to an earlier attempt (a connection carries an id once, tests/transport.rs). Change: an answer to what has not been written whole ends the connection; that call never comes whole and is told as ConnectFailed. Measured: tests/broken_connections.rs 5 green; without the look the new test fails with Full.

--- a/wrenseam/src/worker/frames/reader.rs
+++ b/wrenseam/src/worker/frames/reader.rs
@@ -53,6 +53,10 @@
         let exchange = {
             let mut table = state.table.lock().map_err(|_| "poisoned")?;
             table.heard = Some(Instant::now());
+            // Guards against an answer to a frame that is not wholly out: the rest of it would follow, and might run.
+            if table.open.get(&frame.id).is_some_and(|e| e.end > state.progress.bytes()) {
+                return Err("an answer to what was not written".to_owned());
+            }
             table.open.remove(&frame.id)
         };
         // An answer to what has ended already comes late and is dropped.
--- a/wrenseam/tests/broken_connections.rs
+++ b/wrenseam/tests/broken_connections.rs
@@ -3,11 +3,12 @@
 mod link;
 
 use bramblepath::{Outcome, Settings};
-use link::{frame, outcome, request, FIRST};
+use link::{frame, outcome, request, say, FIRST};
 use may::net::TcpStream as MayStream;
 use rstest::rstest;
-use std::io;
+use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Sender};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -43,6 +44,27 @@
     }
 }
 
+/// The machine's calls, but no more bytes are written than are allowed.
+struct ShortWrites {
+    allowed: Arc<AtomicUsize>,
+}
+
+impl SystemCalls for ShortWrites {
+    fn connect(&self, address: &SocketAddr, within: Duration) -> io::Result<MayStream> {
+        DirectCalls.connect(address, within)
+    }
+
+    fn write(&self, stream: &MayStream, bytes: &[u8]) -> io::Result<usize> {
+        let n = bytes.len().min(self.allowed.load(Ordering::Acquire));
+        if n == 0 {
+            return Err(io::ErrorKind::WouldBlock.into());
+        }
+        let n = DirectCalls.write(stream, &bytes[..n])?;
+        self.allowed.fetch_sub(n, Ordering::AcqRel);
+        Ok(n)
+    }
+}
+
 fn abort(stream: TcpStream) {
     socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
     drop(stream); // sends a reset
@@ -125,3 +147,26 @@
     assert_eq!(frame(&mut stream), (9, 3));
     assert_eq!(transport.cancel(FIRST), GiveUp::Unknown, "it has ended");
 }
+
+/// A worker turns a call away of which it has half. The connection ends: the other half does not follow what has been
+/// told to have never run.
+#[test]
+fn a_call_that_is_turned_away_in_the_middle_never_comes_whole() {
+    may::config().set_workers(1).set_worker_pin(false); // as the program has it
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let allowed = Arc::new(AtomicUsize::new(30));
+    let (queue, reports) = channel::<Message>();
+    let limits = Arc::new(Limits::new(192, 1024, &Settings::default()));
+    let calls = Arc::new(ShortWrites { allowed: allowed.clone() });
+    let mut transport = Frames::new(address, limits, Reports(queue)).with_calls(calls);
+    transport.send(FIRST, &request(9), Terms::within(LONG));
+    let mut stream = listener.accept().expect("a connection").0;
+    stream.read_exact(&mut [0; 30]).expect("the beginning");
+    say(&mut stream, 203, 9, "", b"");
+    assert_eq!(outcome(&reports), (0, Outcome::ConnectFailed));
+    allowed.store(usize::MAX / 2, Ordering::Release);
+    stream.set_read_timeout(Some(Duration::from_secs(20))).expect("set");
+    let rest = stream.read(&mut [0; 1024]);
+    assert!(!matches!(rest, Ok(n) if n > 0), "the rest followed: {rest:?}");
+}
