--- a/wrenseam/src/core/types.rs
+++ b/wrenseam/src/core/types.rs
@@ -56,12 +56,12 @@
     /// Set by the front once its client has left: what has not begun to be sent on by then is not.
     pub gone: Arc<AtomicBool>,
     /// Its client's connection, where whoever begins an attempt may look whether it still stands.
-    pub sight: Option<Arc<dyn Sight>>,
+    pub client_probe: Option<Arc<dyn ClientProbe>>,
 }
 
 /// What shows of a client on its connection, though its reader may not have run yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Presence {
+pub enum ClientState {
     /// It stands, and all that it sent has been read.
     Here,
     /// Something that it sent lies unread: it may give a request up.
@@ -71,9 +71,9 @@
 }
 
 /// A client's connection as others may look at it.
-pub trait Sight: Send + Sync + std::fmt::Debug {
+pub trait ClientProbe: Send + Sync + std::fmt::Debug {
     /// What shows there now; never waits.
-    fn presence(&self) -> Presence;
+    fn presence(&self) -> ClientState;
 }
 
 /// The one final answer.
--- a/wrenseam/src/front/fastcgi.rs
+++ b/wrenseam/src/front/fastcgi.rs
@@ -2,7 +2,7 @@
 use super::{function, token_fits, Doors, Figures, EVICTED};
 use crate::core::{Answer, Client, Ended, Message, Payload, Request};
 use crate::limits::{Held, Limits};
-use crate::net::{timed_out, Occupant, Outbox, Reads, Seat};
+use crate::net::{receive, Occupant, Outbox, Reads, Received, Seat};
 use crate::ring::Ring;
 use may::net::TcpStream;
 use may::sync::Mutex;
@@ -208,12 +208,11 @@
         loop {
             // Asked for before the read: an end that is wished for then is owed what had come by then.
             let ending = self.doors.ending.load(Ordering::Acquire);
-            let nothing = match ring.fill(stream) {
-                Ok(0) => return Ok(()),
-                Ok(_) => false,
-                Err(e) if timed_out(&e) => true,
-                Err(e) => return Err(e.to_string()),
-            };
+            let received = receive(&mut ring, stream)?;
+            if received == Received::End {
+                return Ok(());
+            }
+            let nothing = received == Received::Nothing;
             let full = ring.len() == ring.footprint();
             let between = self.partial.is_empty() && got.is_empty();
             let ended = ending && nothing && between && self.side.occupant.is_idle();
@@ -447,7 +446,7 @@
         match request.map(|r| Request {
             read_at,
             held: partial.held,
-            sight: Some(self.side.out.sight()),
+            client_probe: Some(self.side.out.client_probe()),
             ..r
         }) {
             Err(why) => self.refuse(id, Fault::Bad(why), close),
@@ -503,6 +502,6 @@
         payload: Payload::Bytes(body),
         held: None,
         gone: Arc::default(),
-        sight: None,
+        client_probe: None,
     })
 }
--- a/wrenseam/src/front/kserve.rs
+++ b/wrenseam/src/front/kserve.rs
@@ -3,7 +3,7 @@
 use crate::core::{Answer, Client, Ended, Message, Payload, Request};
 use crate::http::{response, Head};
 use crate::limits::Limits;
-use crate::net::{timed_out, Occupant, Outbox, Reads, Seat};
+use crate::net::{receive, Occupant, Outbox, Reads, Received, Seat};
 use crate::ring::Ring;
 use crate::worker::kserve::wrap_answer;
 use bramblepath::json::{flag, number, object, parse, part, text};
@@ -155,12 +155,11 @@
         loop {
             // As the other front does: an end that is wished for is owed what had come by then.
             let ending = self.doors.ending.load(Ordering::Acquire);
-            let nothing = match ring.fill(stream) {
-                Ok(0) => return Ok(()),
-                Ok(_) => false,
-                Err(e) if timed_out(&e) => true,
-                Err(e) => return Err(e.to_string()),
-            };
+            let received = receive(&mut ring, stream)?;
+            if received == Received::End {
+                return Ok(());
+            }
+            let nothing = received == Received::Nothing;
             let full = ring.len() == ring.footprint();
             let between = part.is_none() && ring.is_empty();
             let ended = ending && nothing && between && self.side.occupant.is_idle();
@@ -242,10 +241,8 @@
             if self.side.out.closing() {
                 return Ok(());
             }
-            match ring.fill(stream) {
-                Err(e) if timed_out(&e) => {}
-                Ok(n) if n > 0 => {}
-                _ => return Ok(()),
+            if matches!(receive(ring, stream), Ok(Received::End) | Err(_)) {
+                return Ok(());
             }
         }
     }
@@ -341,8 +338,12 @@
                 refuse("503 Service Unavailable", "the front end is ending")
             }
             Ok(request) => {
-                let request =
-                    Request { read_at, held: Some(held), sight: Some(self.side.out.sight()), ..request };
+                let request = Request {
+                    read_at,
+                    held: Some(held),
+                    client_probe: Some(self.side.out.client_probe()),
+                    ..request
+                };
                 let slots = self.side.slots.lock();
                 if let Some(slot) = slots.ok().as_mut().and_then(|s| s.iter_mut().find(|s| s.tag == tag)) {
                     slot.gone = request.gone.clone();
@@ -421,6 +422,6 @@
         payload: Payload::Json(body),
         held: None,
         gone: Arc::default(),
-        sight: None,
+        client_probe: None,
     })
 }
--- /dev/null
+++ b/wrenseam/src/net/failure.rs
@@ -0,0 +1,71 @@
+//! What a failed system call on a connection asks for, in one place for all of them.
+use super::pause;
+use crate::ring::Ring;
+use std::io::{self, ErrorKind, Read};
+use std::time::Duration;
+
+/// How long a call waits that failed as the system was short of something.
+const SHORTAGE: Duration = Duration::from_millis(1);
+
+/// `ENOBUFS` of Linux: no buffer for now. (`ErrorKind` has no name for it.)
+const NO_BUFFERS: i32 = 105;
+
+/// What is to be done after a failed call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Make it again: its time was up, a signal came, or nothing was there to be read or room to write.
+    Again,
+    /// Make it again a little later: the system is short of memory or buffers. The connection stands.
+    Later,
+    /// The connection is over.
+    Over,
+}
+
+impl Failure {
+    /// Of an error that a read or write returned.
+    pub fn of(e: &io::Error) -> Self {
+        match (e.kind(), e.raw_os_error()) {
+            (_, Some(NO_BUFFERS)) | (ErrorKind::OutOfMemory, _) => Failure::Later,
+            (ErrorKind::WouldBlock | ErrorKind::Interrupted, _) => Failure::Again,
+            // The scheduler's own time-out has no number; the system's `ETIMEDOUT` ends a connection.
+            (ErrorKind::TimedOut, None) => Failure::Again,
+            _ => Failure::Over,
+        }
+    }
+}
+
+/// Whether an error of a blocking call only means that its time was up.
+pub fn timed_out(e: &io::Error) -> bool {
+    Failure::of(e) == Failure::Again
+}
+
+/// What a read brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Received {
+    /// The other side has closed.
+    End,
+    /// Bytes, which are in the ring.
+    Bytes,
+    /// Nothing so far.
+    Nothing,
+}
+
+/// One read into a ring with free space. A read that failed for want of memory brought nothing: the connection, and
+/// what is owed on it, stay.
+///
+/// # Errors
+/// The connection is over, and why.
+pub fn receive(ring: &mut Ring, from: &mut impl Read) -> Result<Received, String> {
+    match ring.fill(from) {
+        Ok(0) => Ok(Received::End),
+        Ok(_) => Ok(Received::Bytes),
+        Err(e) => match Failure::of(&e) {
+            Failure::Again => Ok(Received::Nothing),
+            Failure::Later => {
+                pause(SHORTAGE);
+                Ok(Received::Nothing)
+            }
+            Failure::Over => Err(e.to_string()),
+        },
+    }
+}
--- a/wrenseam/src/worker/frames/reader.rs
+++ b/wrenseam/src/worker/frames/reader.rs
@@ -4,7 +4,7 @@
 use super::connection::{State, What};
 use crate::core::{Payload, Report};
 use crate::limits::Limits;
-use crate::net::timed_out;
+use crate::net::{receive, timed_out, Received};
 use crate::ring::Ring;
 use bramblepath::Outcome;
 use may::net::TcpStream;
@@ -19,16 +19,20 @@
     let (mut ring, mut decoder) = (Ring::new(limits.worker_ring), Decoder::default());
     stream.set_read_timeout(Some(limits.frame_stall)).map_err(|e| e.to_string())?;
     let end = loop {
-        match ring.fill(&mut stream) {
-            Ok(0) => break Ok(()),
-            Ok(_) => {}
+        let asked = Instant::now();
+        match receive(&mut ring, &mut stream) {
+            Ok(Received::End) => break Ok(()),
+            Ok(Received::Bytes) => {}
             // Guards against an answer that stops short: nothing more comes behind it.
-            // (What came while we stood still lies there unread: that is no stop.)
-            Err(e) if timed_out(&e) && decoder.midway() && nothing_lies(&stream) => {
-                break Err("a frame stopped midway".to_owned())
+            // (What came while we stood still lies there unread: that is no stop. Nor is a read that failed at once.)
+            Ok(Received::Nothing) => {
+                let waited = asked.elapsed() >= limits.frame_stall / 2;
+                if waited && decoder.midway() && nothing_lies(&stream) {
+                    break Err("a frame stopped midway".to_owned());
+                }
+                continue;
             }
-            Err(e) if timed_out(&e) => continue,
-            Err(e) => break Err(e.to_string()),
+            Err(why) => break Err(why),
         }
         match answers(&mut decoder, &mut ring, state, reports, limits.answer) {
             Ok(()) => {}
--- a/wrenseam/src/worker/frames/writer.rs
+++ b/wrenseam/src/worker/frames/writer.rs
@@ -7,7 +7,7 @@
 use super::send_queue::{Cut, QueuedFrame, SendQueue};
 use crate::core::{AttemptKey, Report};
 use crate::limits::Limits;
-use crate::net::{pause, spawn, timed_out, SystemCalls};
+use crate::net::{pause, spawn, Failure, SystemCalls};
 use crate::ring::Ring;
 use bramblepath::Outcome;
 use may::net::TcpStream;
@@ -155,7 +155,7 @@
                     let confirmed = self.line.written(written + n as u64);
                     confirmed.into_iter().for_each(|key| self.given_up(key));
                 }
-                Err(e) if timed_out(&e) => {
+                Err(e) if Failure::of(&e) != Failure::Over => {
                     self.line.written(written); // nothing was: what was claimed waits again
                     pause(nap);
                     stalled += nap;
--- a/wrenseam/src/worker/kserve/lane.rs
+++ b/wrenseam/src/worker/kserve/lane.rs
@@ -6,7 +6,7 @@
 use crate::core::Report;
 use crate::http::{Chunked, Coded, Head};
 use crate::limits::Limits;
-use crate::net::{back, pause, timed_out, write_now};
+use crate::net::{back, pause, receive, timed_out, write_now, Failure, Received};
 use crate::ring::Ring;
 use bramblepath::Outcome;
 use may::net::TcpStream;
@@ -167,7 +167,7 @@
                     stalled = Duration::ZERO;
                     ring.consume(n);
                 }
-                Err(e) if timed_out(&e) && stalled < self.limits.write_stall => {
+                Err(e) if Failure::of(&e) != Failure::Over && stalled < self.limits.write_stall => {
                     // As with frames: nothing is claimed while it waits.
                     let whole = ring.len() == job.bytes.len();
                     if whole {
@@ -230,10 +230,10 @@
             if told.is_some() && (!ring.is_empty() || told.as_ref().is_some_and(|t| t.length == Some(0))) {
                 continue;
             }
-            match ring.fill(stream) {
-                Ok(0) => return Err("cut".to_owned()),
-                Ok(_) => heard = Instant::now(),
-                Err(e) if timed_out(&e) => {
+            match receive(&mut ring, stream)? {
+                Received::End => return Err("cut".to_owned()),
+                Received::Bytes => heard = Instant::now(),
+                Received::Nothing => {
                     // Guards against an answer that stops short, as with frames.
                     let begun = told.is_some() || !head.is_empty();
                     if begun && heard.elapsed() > self.limits.frame_stall {
@@ -244,7 +244,6 @@
                         return Err("given up".to_owned());
                     }
                 }
-                Err(e) => return Err(e.to_string()),
             }
         }
     }
--- a/wrenseam/src/worker/ticket.rs
+++ b/wrenseam/src/worker/ticket.rs
@@ -4,7 +4,7 @@
 //! take it back (its time is up, the module calls it off), its client may leave, and the writer may begin it. All three
 //! meet in one word of state: whoever changes it first has decided, and the others are told so.
 use super::Terms;
-use crate::core::{Presence, Request, Sight};
+use crate::core::{ClientProbe, ClientState, Request};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU8, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -24,7 +24,7 @@
     /// Set once the client it is for has left.
     gone: Arc<AtomicBool>,
     /// Where that shows before anyone has read it.
-    sight: Option<Arc<dyn Sight>>,
+    client_probe: Option<Arc<dyn ClientProbe>>,
     /// How often its client's input lay unread.
     looks: AtomicU32,
     /// Not begun later than this.
@@ -57,14 +57,15 @@
         let whole_by = terms.repeat_window.map(|window| now + Duration::from_micros(window));
         let until = now + Duration::from_micros(terms.budget);
         let until = whole_by.map_or(until, |by| by.min(until));
-        Ticket::seen(request.gone.clone(), request.sight.clone(), (until, whole_by))
+        Ticket::seen(request.gone.clone(), request.client_probe.clone(), (until, whole_by))
     }
 
     fn seen(
-        gone: Arc<AtomicBool>, sight: Option<Arc<dyn Sight>>, (until, whole_by): (Instant, Option<Instant>),
+        gone: Arc<AtomicBool>, client_probe: Option<Arc<dyn ClientProbe>>,
+        (until, whole_by): (Instant, Option<Instant>),
     ) -> Arc<Ticket> {
         let (state, looks) = (AtomicU8::new(WAITS), AtomicU32::new(0));
-        Arc::new(Ticket { state, gone, sight, looks, until, whole_by })
+        Arc::new(Ticket { state, gone, client_probe, looks, until, whole_by })
     }
 
     /// Whether what is not written whole by now must not be any more.
@@ -81,11 +82,11 @@
         let waits = self.state.load(Ordering::Acquire) == WAITS && !self.gone.load(Ordering::Acquire);
         // Guards workers from calls for nobody while the reader has had no turn: the process stood still, or input of
         // others came at full speed.
-        match self.sight.as_ref().filter(|_| waits).map_or(Presence::Here, |s| s.presence()) {
-            Presence::Here => {}
-            Presence::Left => self.gone.store(true, Ordering::Release),
-            Presence::Unread if self.looks.fetch_add(1, Ordering::AcqRel) < LOOKS => return Begin::Unread,
-            Presence::Unread => {}
+        match self.client_probe.as_ref().filter(|_| waits).map_or(ClientState::Here, |s| s.presence()) {
+            ClientState::Here => {}
+            ClientState::Left => self.gone.store(true, Ordering::Release),
+            ClientState::Unread if self.looks.fetch_add(1, Ordering::AcqRel) < LOOKS => return Begin::Unread,
+            ClientState::Unread => {}
         }
         if self.gone.load(Ordering::Acquire) || now > self.until {
             return if self.turn(WAITS, BACK) { Begin::Void } else { Begin::Back };
--- a/wrenseam/tests/kserve_proofs.rs
+++ b/wrenseam/tests/kserve_proofs.rs
@@ -11,7 +11,7 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use wrenseam::core::{AttemptKey, Presence, Request, Sight};
+use wrenseam::core::{AttemptKey, ClientProbe, ClientState, Request};
 use wrenseam::worker::Terms;
 
 const LONG: u64 = 20_000_000;
@@ -142,8 +142,8 @@
     said: AtomicBool,
 }
 
-impl Sight for Meanwhile {
-    fn presence(&self) -> Presence {
+impl ClientProbe for Meanwhile {
+    fn presence(&self) -> ClientState {
         if !self.said.swap(true, Ordering::AcqRel) {
             let mut worker = self.worker.lock().expect("sound");
             worker.write_all(REFUSED.as_bytes()).expect("said");
@@ -152,7 +152,7 @@
                 std::thread::yield_now();
             }
         }
-        Presence::Here
+        ClientState::Here
     }
 }
 
@@ -179,8 +179,8 @@
     back.write_all(served(Some(1)).as_bytes()).expect("answered");
     assert_eq!(outcome(&reports), (1, Outcome::Ok));
     let plain = Arc::into_inner(request(2)).expect("ours alone");
-    let sight = Meanwhile { worker: Mutex::new(back), said: AtomicBool::new(false) };
-    let call = Arc::new(Request { sight: Some(Arc::new(sight)), ..plain });
+    let client_probe = Meanwhile { worker: Mutex::new(back), said: AtomicBool::new(false) };
+    let call = Arc::new(Request { client_probe: Some(Arc::new(client_probe)), ..plain });
     transport.send(attempt(2), &call, Terms::within(LONG));
     let (second, mut back) = next(&calls);
     back.write_all(served(Some(2)).as_bytes()).expect("answered");
--- a/wrenseam/tests/leaving.rs
+++ b/wrenseam/tests/leaving.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::{mpsc, Arc, Mutex};
 use std::time::{Duration, Instant};
-use wrenseam::core::{AttemptKey, Client, Message, Presence, Request, Shared};
+use wrenseam::core::{AttemptKey, Client, ClientState, Message, Request, Shared};
 use wrenseam::front::{fastcgi as platform, kserve, Doors, Serve};
 use wrenseam::limits::{Budget, Limits};
 use wrenseam::net::Seats;
@@ -63,8 +63,8 @@
         Front { client, request: Arc::new(request), _side, limits }
     }
 
-    fn presence(&self) -> Presence {
-        self.request.sight.as_ref().expect("it can be looked at").presence()
+    fn presence(&self) -> ClientState {
+        self.request.client_probe.as_ref().expect("it can be looked at").presence()
     }
 
     /// The client leaves in this way, and what that brings has arrived.
@@ -79,11 +79,11 @@
             socket2::SockRef::from(&self.client).set_linger(Some(Duration::ZERO)).expect("set");
         }
         let Front { client, request, .. } = self;
-        let sight = request.sight.clone().expect("it can be looked at");
+        let client_probe = request.client_probe.clone().expect("it can be looked at");
         let _kept = (how == "aborts").then(|| client.try_clone().expect("cloned"));
         drop(client);
         let since = Instant::now();
-        while sight.presence() == Presence::Here {
+        while client_probe.presence() == ClientState::Here {
             assert!(since.elapsed() < Duration::from_secs(20), "{how}: nothing shows");
             std::thread::yield_now();
         }
@@ -127,25 +127,25 @@
 /// The client leaves, and its reader cannot run: who begins an attempt sees it at the connection, at once. What lies
 /// unread may be a cancel: its reader comes first, and finds it.
 #[rstest]
-#[case::closes(Platform, "closes", Presence::Left)]
-#[case::resets(Platform, "resets", Presence::Left)]
-#[case::aborts(Platform, "aborts", Presence::Unread)]
-#[case::v2_closes(V2, "closes", Presence::Left)]
-#[case::v2_resets(V2, "resets", Presence::Left)]
-#[case::v2_closes_behind_input(V2, "asks more and closes", Presence::Unread)]
+#[case::closes(Platform, "closes", ClientState::Left)]
+#[case::resets(Platform, "resets", ClientState::Left)]
+#[case::aborts(Platform, "aborts", ClientState::Unread)]
+#[case::v2_closes(V2, "closes", ClientState::Left)]
+#[case::v2_resets(V2, "resets", ClientState::Left)]
+#[case::v2_closes_behind_input(V2, "asks more and closes", ClientState::Unread)]
 fn a_client_that_left_is_seen_before_its_reader_runs(
-    #[case] front: Speech, #[case] how: &str, #[case] shows: Presence,
+    #[case] front: Speech, #[case] how: &str, #[case] shows: ClientState,
 ) {
     let _alone = SCHEDULER.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
     let front = Front::new(front);
-    assert_eq!(front.presence(), Presence::Here);
+    assert_eq!(front.presence(), ClientState::Here);
     let starved = Starved::new();
     let request = front.leave(how);
     assert!(!request.gone.load(Ordering::Acquire), "its reader is held back");
-    assert_eq!(request.sight.as_ref().expect("told").presence(), shows);
+    assert_eq!(request.client_probe.as_ref().expect("told").presence(), shows);
     let ticket = Ticket::call(&request, Terms::within(20_000_000), Instant::now());
     let first = ticket.begin(Instant::now());
-    assert_eq!(first, if shows == Presence::Left { Begin::Void } else { Begin::Unread });
+    assert_eq!(first, if shows == ClientState::Left { Begin::Void } else { Begin::Unread });
     drop(starved.0);
     let since = Instant::now();
     while !request.gone.load(Ordering::Acquire) {
@@ -174,7 +174,7 @@
     // As if its reader had no turn though the worker's writer has: the flag that it would set is another one.
     let unread = Arc::new(Request {
         gone: Arc::default(),
-        sight: request.sight.clone(),
+        client_probe: request.client_probe.clone(),
         class: request.class.clone(),
         tenant: request.tenant.clone(),
         token: None,
--- a/wrenseam/tests/link/mod.rs
+++ b/wrenseam/tests/link/mod.rs
@@ -75,7 +75,7 @@
         payload: Payload::Bytes(b"body".to_vec()),
         held: None,
         gone: Arc::default(),
-        sight: None,
+        client_probe: None,
     })
 }
 
--- a/wrenseam/tests/mute.rs
+++ b/wrenseam/tests/mute.rs
@@ -31,7 +31,7 @@
         payload: Payload::Bytes(Vec::new()),
         held: None,
         gone: Arc::default(),
-        sight: None,
+        client_probe: None,
     })
 }
 
