--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,7 @@
 mod zones;
 
 pub use interface::*;
+pub use repeat::never_ran;
 pub use state::Controller;
 pub use zone_names::ZoneNames;
 
--- a/src/repeat.rs
+++ b/src/repeat.rs
@@ -30,7 +30,8 @@
 }
 
 /// Whether an outcome proves that its attempt never ran.
-pub(crate) fn never_ran(outcome: Outcome) -> bool {
+#[must_use]
+pub fn never_ran(outcome: Outcome) -> bool {
     matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss)
 }
 
--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -15,6 +15,7 @@
 use crate::fleet::Lifecycle;
 use crate::limits::Limits;
 use crate::membership::{Change, Duty, Membership};
+use crate::net::{DirectCalls, SystemCalls};
 use crate::worker::{pool, transport, GiveUp, Reports, Terms, Transport};
 use bramblepath::json::position;
 use bramblepath::{
@@ -154,6 +155,8 @@
     tally: Tally,
     /// The fleet's bounds, where the fleet is on.
     gate: Option<Gate>,
+    /// The system calls on connections to workers.
+    calls: Arc<dyn SystemCalls>,
     /// The zones that the settings and the lists have named.
     zones: ZoneNames,
 }
@@ -188,6 +191,7 @@
             counts,
             tally,
             gate: None,
+            calls: Arc::new(DirectCalls),
         }
     }
 
@@ -197,6 +201,12 @@
         self
     }
 
+    /// Makes these system calls on connections to workers in place of the machine's.
+    #[must_use]
+    pub fn with_calls(self, calls: Arc<dyn SystemCalls>) -> Self {
+        Core { calls, ..self }
+    }
+
     /// Runs until every sender of the queue is gone.
     pub fn run(mut self) {
         self.timers.set(self.clock.now() + SWEEP, Due::Sweep);
@@ -626,7 +636,7 @@
                 former = peer.former;
                 former.push(peer.transport);
             }
-            let to = transport(member.speech, member.address, &self.limits, &self.reports);
+            let to = transport(member.speech, member.address, &self.limits, &self.reports, &self.calls);
             self.peers.insert(member.id.clone(), Peer { member, transport: to, former });
         }
         if !entries.is_empty() {
--- a/wrenseam/src/worker/frames/reader.rs
+++ b/wrenseam/src/worker/frames/reader.rs
@@ -6,7 +6,7 @@
 use crate::limits::Limits;
 use crate::net::{receive, timed_out, Received};
 use crate::ring::Ring;
-use bramblepath::Outcome;
+use bramblepath::{never_ran, Outcome};
 use may::net::TcpStream;
 use std::net::Shutdown;
 use std::sync::atomic::Ordering;
@@ -54,6 +54,10 @@
 ) -> Result<(), String> {
     while let Some(frame) = decoder.next(ring, most)? {
         let outcome = outcome(frame.code).ok_or_else(|| format!("code {}", frame.code))?;
+        // Guards against a spoilt code, which the check does not cover: what never ran has no body.
+        if never_ran(outcome) && !frame.body.is_empty() {
+            return Err(format!("a body behind code {}", frame.code));
+        }
         let exchange = {
             let mut table = state.table.lock().map_err(|_| "poisoned")?;
             table.heard = Some(Instant::now());
--- a/wrenseam/src/worker/kserve/lane.rs
+++ b/wrenseam/src/worker/kserve/lane.rs
@@ -6,7 +6,7 @@
 use crate::core::Report;
 use crate::http::{Chunked, Coded, Head};
 use crate::limits::Limits;
-use crate::net::{back, pause, receive, timed_out, write_now, Failure, Received};
+use crate::net::{back, pause, receive, timed_out, Failure, Received, SystemCalls};
 use crate::ring::Ring;
 use bramblepath::Outcome;
 use may::net::TcpStream;
@@ -34,6 +34,7 @@
     pub(super) address: SocketAddr,
     pub(super) limits: Arc<Limits>,
     pub(super) reports: Reports,
+    pub(super) calls: Arc<dyn SystemCalls>,
     pub(super) state: Arc<State>,
     pub(super) stream: Option<Kept>,
 }
@@ -150,7 +151,7 @@
     }
 
     fn connect(&self) -> std::io::Result<TcpStream> {
-        let stream = TcpStream::connect_timeout(&self.address, self.limits.connect)?;
+        let stream = self.calls.connect(&self.address, self.limits.connect)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(self.limits.write_check))?;
         Ok(stream)
@@ -162,7 +163,7 @@
         rest = &rest[ring.push(rest)..];
         debug_assert!(rest.is_empty());
         while !ring.is_empty() {
-            match write_now(stream, ring.front()) {
+            match self.calls.write(stream, ring.front()) {
                 Ok(n) if n > 0 => {
                     stalled = Duration::ZERO;
                     ring.consume(n);
--- a/wrenseam/src/worker/kserve/mod.rs
+++ b/wrenseam/src/worker/kserve/mod.rs
@@ -9,7 +9,7 @@
 use super::{GiveUp, Reports, Terms, Transport};
 use crate::core::{AttemptKey, Payload, Request};
 use crate::limits::Limits;
-use crate::net::spawn;
+use crate::net::{spawn, DirectCalls, SystemCalls};
 use bramblepath::{FunctionId, Micros};
 use lane::Lane;
 use may::sync::mpmc::{channel, Receiver, Sender};
@@ -62,6 +62,7 @@
     address: SocketAddr,
     limits: Arc<Limits>,
     reports: Reports,
+    calls: Arc<dyn SystemCalls>,
     state: Arc<State>,
     jobs: Sender<Job>,
     queue: Receiver<Job>,
@@ -72,7 +73,14 @@
     /// No connection is opened before it is needed.
     pub fn new(address: SocketAddr, limits: Arc<Limits>, reports: Reports) -> Self {
         let (jobs, queue) = channel();
-        Kserve { address, limits, reports, state: Arc::default(), jobs, queue, out: Vec::new() }
+        let (state, calls) = (Arc::default(), Arc::new(DirectCalls));
+        Kserve { address, limits, reports, calls, state, jobs, queue, out: Vec::new() }
+    }
+
+    /// Makes these system calls in place of the machine's.
+    #[must_use]
+    pub fn with_calls(self, calls: Arc<dyn SystemCalls>) -> Self {
+        Kserve { calls, ..self }
     }
 
     /// An order, a question or an unload: an order that waited for long is not begun, it would count when it arrives.
@@ -100,8 +108,8 @@
         if load > lanes && lanes < self.limits.lanes_per_worker {
             self.state.lanes.fetch_add(1, Ordering::AcqRel);
             let (address, limits, reports) = (self.address, self.limits.clone(), self.reports.clone());
-            let (state, queue) = (self.state.clone(), self.queue.clone());
-            let lane = move || Lane { address, limits, reports, state, stream: None }.run(&queue);
+            let (state, queue, calls) = (self.state.clone(), self.queue.clone(), self.calls.clone());
+            let lane = move || Lane { address, limits, reports, calls, state, stream: None }.run(&queue);
             if let Err(e) = spawn(self.limits.stack, lane) {
                 self.state.lanes.fetch_sub(1, Ordering::AcqRel);
                 note!("worker {}: no coroutine: {e}", self.address);
--- a/wrenseam/src/worker/mod.rs
+++ b/wrenseam/src/worker/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::core::{AttemptKey, Message, Report, Request, Speech};
 use crate::limits::Limits;
+use crate::net::SystemCalls;
 use bramblepath::{FunctionId, Micros, Outcome};
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
@@ -91,9 +92,11 @@
 /// The transport for a worker's speech.
 pub fn transport(
     speech: Speech, address: SocketAddr, limits: &Arc<Limits>, reports: &Reports,
+    calls: &Arc<dyn SystemCalls>,
 ) -> Box<dyn Transport> {
+    let (limits, reports, calls) = (limits.clone(), reports.clone(), calls.clone());
     match speech {
-        Speech::Frames => Box::new(frames::Frames::new(address, limits.clone(), reports.clone())),
-        Speech::Kserve => Box::new(kserve::Kserve::new(address, limits.clone(), reports.clone())),
+        Speech::Frames => Box::new(frames::Frames::new(address, limits, reports).with_calls(calls)),
+        Speech::Kserve => Box::new(kserve::Kserve::new(address, limits, reports).with_calls(calls)),
     }
 }
--- a/wrenseam/tests/broken_connections.rs
+++ b/wrenseam/tests/broken_connections.rs
@@ -3,7 +3,7 @@
 mod link;
 
 use bramblepath::{Outcome, Settings};
-use link::{frame, outcome, request, say, FIRST};
+use link::{frame, outcome, request, say, transport, FIRST};
 use may::net::TcpStream as MayStream;
 use rstest::rstest;
 use std::io::{self, Read};
@@ -170,3 +170,16 @@
     let rest = stream.read(&mut [0; 1024]);
     assert!(!matches!(rest, Ok(n) if n > 0), "the rest followed: {rest:?}");
 }
+
+/// A code that was spoilt on its way reads as one that proves that nothing ran: the check covers fields and body alone.
+/// But a body came with it, as only with an answer to what ran.
+#[rstest]
+fn a_spoilt_code_proves_nothing(#[values(202, 203, 205)] code: u8) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (mut transport, reports) = transport(listener.local_addr().expect("bound"), |_| {});
+    transport.send(FIRST, &request(9), Terms::within(LONG));
+    let mut stream = listener.accept().expect("a connection").0;
+    assert_eq!(frame(&mut stream), (9, 2));
+    say(&mut stream, code, 9, "detail=resident", b"DONE");
+    assert_eq!(outcome(&reports), (0, Outcome::Reset));
+}
