--- a/wrenseam/tests/schedules.rs
+++ b/wrenseam/tests/schedules.rs
@@ -6,7 +6,7 @@
 use bramblepath::{ClassSettings, Effect, Group, Settings, WorkerState};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use standin::{Arrival, Die, Ledger, Worker};
+use standin::{Act, Arrival, Die, Ledger, Worker};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -328,7 +328,7 @@
 #[test]
 fn the_account_sees_a_repeat() {
     let at = Instant::now();
-    let arrival = |zone, ran, ms| Arrival { at: at + Duration::from_millis(ms), zone, ran };
+    let arrival = |zone, ran, ms| Arrival { at: at + Duration::from_millis(ms), zone, ran, act: Act::Serve };
     let (first, never) = (arrival(0, true, 0), arrival(0, false, 0));
     assert!(breach(UNSAFE, &[first, arrival(0, true, 9)], &[]).is_some());
     assert!(breach(UNSAFE, &[never, arrival(0, true, 9)], &["served"]).is_none());
--- a/wrenseam/tests/standin/mod.rs
+++ b/wrenseam/tests/standin/mod.rs
@@ -15,6 +15,8 @@
     pub zone: usize,
     /// Whether it may have run: the worker has not answered that it never did.
     pub ran: bool,
+    /// What the worker did with it.
+    pub act: Act,
 }
 
 /// All calls that came whole, by the id that the client gave.
@@ -119,7 +121,7 @@
     fn take(&self, id: u64) -> Act {
         let troubled = self.die.percent(self.trouble);
         let act = if troubled { ACTS[self.die.below(ACTS.len() as u32) as usize] } else { Act::Serve };
-        let arrival = Arrival { at: Instant::now(), zone: self.zone, ran: !act.never_ran() };
+        let arrival = Arrival { at: Instant::now(), zone: self.zone, ran: !act.never_ran(), act };
         self.ledger.lock().expect("sound").entry(id).or_default().push(arrival);
         act
     }
