KServe v2: only an answer that names its call leaves its connection to another call

Root cause: worker/kserve/lane.rs exchange(): orders and calls shared connections, and an answer without an id was taken for whatever was asked last. A worker that answered a call twice had its second answer taken by the order behind it, the order's by the next call, and that call's refusal (404) by the call after it, which came whole and ran: told as Miss, it was sent again. The trace of one: request 133, attempt 0 at w5: Miss told 0.06 ms before the call came whole there; the call before on w5 had ended as Error 0.2 ms after it was sent. Ruled out by that trace: the module (each attempt was sent on a never-ran outcome), frames (all on one v2 worker), the looks at an idle connection before and behind begin (nothing lay in it yet). Change: orders have connections of their own that carry one exchange; a call's connection is kept only behind a 200 that names that call. Workers that do not echo the id get a connection for each call.

--- a/wrenseam/src/worker/kserve/lane.rs
+++ b/wrenseam/src/worker/kserve/lane.rs
@@ -1,7 +1,7 @@
 //! One connection to a v2 worker: an exchange at a time, and what is known of each when the connection ends.
 use super::super::ticket::{Begin, LOOK_AGAIN};
 use super::super::Reports;
-use super::messages::{attempt_report, names_another, order_report, Reply};
+use super::messages::{attempt_report, named, order_report, Named, Reply};
 use super::{Job, State, What};
 use crate::core::Report;
 use crate::http::{Chunked, Coded, Head};
@@ -103,7 +103,11 @@
         if self.withheld(job) {
             return Err(Outcome::Moot);
         }
-        let mut stream = self.begun_stream(job)?;
+        let mut stream = match &job.what {
+            What::Attempt(..) => self.begun_stream(job)?,
+            // Their answers name no call: one that came twice would put every later answer on its connection off by one.
+            What::Order(..) | What::Unload => self.fresh_stream(job)?,
+        };
         self.write(&stream, job)?;
         let (reply, reusable) = self.read(&mut stream, job).map_err(|why| {
             if !job.cancelled.load(Ordering::Acquire) {
@@ -112,15 +116,18 @@
             // Wholly written and no whole answer: it may have run.
             Outcome::Reset
         })?;
-        if let What::Attempt(_, call) = &job.what {
-            if names_another(&reply, call.wire_id) {
-                note!("worker {}: answer lost: one to another call came", self.address);
-                return Err(Outcome::Reset); // nothing is known of this one
-            }
+        let named = match &job.what {
+            What::Attempt(_, call) => named(&reply, call.wire_id),
+            What::Order(..) | What::Unload => Named::None,
+        };
+        if named == Named::Another {
+            note!("worker {}: answer lost: one to another call came", self.address);
+            return Err(Outcome::Reset); // nothing is known of this one
         }
-        // An answer other than 200 names no call. Were a second one to come late, it would be taken for the next call's,
-        // and might prove that it never ran.
-        if reusable && reply.status == 200 {
+        // Only an answer that names its call leaves the connection to another. Were a second one to come late, the next
+        // call would else take it for its own, and its own would reach the call after it: a refusal among them proves
+        // of the wrong call that it never ran.
+        if reusable && reply.status == 200 && named == Named::This {
             self.stream = Some(Kept { stream, since: Instant::now() });
         }
         Ok(reply)
@@ -139,15 +146,20 @@
             }
             job.ticket.release();
         }
+        self.fresh_stream(job)
+    }
+
+    /// A new connection on which the job has been begun.
+    fn fresh_stream(&self, job: &Job) -> Result<TcpStream, Outcome> {
         let stream = self.connect().map_err(|why| {
             note!("worker {}: no connection: {why}", self.address);
             Outcome::ConnectFailed
         })?;
-        if !self.begin(job) {
-            self.stream = Some(Kept { stream, since: Instant::now() });
-            return Err(Outcome::Moot);
+        if self.begin(job) {
+            Ok(stream)
+        } else {
+            Err(Outcome::Moot)
         }
-        Ok(stream)
     }
 
     fn connect(&self) -> std::io::Result<TcpStream> {
--- a/wrenseam/src/worker/kserve/messages.rs
+++ b/wrenseam/src/worker/kserve/messages.rs
@@ -93,10 +93,25 @@
     }
 }
 
-/// Whether an answer names another call than this one: it belongs to an exchange before it on its connection.
-pub(super) fn names_another(reply: &Reply, wire_id: u64) -> bool {
-    let Some(Value::Object(answer)) = fields(&reply.body) else { return false };
-    text(&answer, "id").and_then(hex_id).is_some_and(|id| id != wire_id)
+/// Which call an answer says that it belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Named {
+    /// This one.
+    This,
+    /// Another, that was before it on its connection.
+    Another,
+    /// It does not say.
+    None,
+}
+
+/// Which call an answer names, as seen from the call with this id.
+pub(super) fn named(reply: &Reply, wire_id: u64) -> Named {
+    let whole = fields(&reply.body);
+    match whole.as_ref().and_then(object).and_then(|answer| text(answer, "id")).and_then(hex_id) {
+        Some(id) if id == wire_id => Named::This,
+        Some(_) => Named::Another,
+        None => Named::None,
+    }
 }
 
 /// An id of 16 hex digits; others were given by whoever drew them and say nothing here.
--- a/wrenseam/tests/kserve_proofs.rs
+++ b/wrenseam/tests/kserve_proofs.rs
@@ -135,6 +135,43 @@
     assert_eq!(outcome(&reports), (2, Outcome::Reset));
 }
 
+/// What does not name its call leaves no connection for another: a second one could not be told from the next call's.
+#[rstest]
+#[case::an_answer_without_an_id(None, false)]
+#[case::an_answer_with_its_id(Some(1), true)]
+fn only_an_answer_that_names_its_call_leaves_its_connection_in_use(
+    #[case] id: Option<u64>, #[case] kept: bool,
+) {
+    let (address, calls) = worker();
+    let (mut transport, reports) = transport_of(Protocol::Kserve, address, |_| {});
+    transport.send(attempt(1), &request(1), Terms::within(LONG));
+    let (first, mut back) = next(&calls);
+    back.write_all(served(id).as_bytes()).expect("answered");
+    assert_eq!(outcome(&reports), (1, Outcome::Ok));
+    transport.send(attempt(2), &request(2), Terms::within(LONG));
+    assert_eq!(next(&calls).0 == first, kept);
+}
+
+/// An answer comes twice and an order follows it: the order is not on that connection, where it would take the second
+/// answer for its own, leave its own to the next call and that one's to the call after it. A refusal of the one would
+/// prove of the other that it never ran; a schedule under load found that (`tests/schedules.rs`).
+#[test]
+fn an_order_does_not_share_a_connection_with_calls() {
+    let (address, calls) = worker();
+    let (mut transport, reports) = transport_of(Protocol::Kserve, address, |_| {});
+    transport.send(attempt(1), &request(1), Terms::within(LONG));
+    let (first, mut back) = next(&calls);
+    back.write_all(served(Some(1)).as_bytes()).expect("answered");
+    assert_eq!(outcome(&reports), (1, Outcome::Ok));
+    transport.order(1, 7, 1);
+    let (ordered, mut back) = next(&calls);
+    assert_ne!(first, ordered, "a connection of its own");
+    back.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}").expect("answered");
+    assert_eq!(outcome(&reports), (usize::MAX, Outcome::Ok));
+    transport.send(attempt(2), &request(2), Terms::within(LONG));
+    assert_eq!(next(&calls).0, first, "the call's connection is still in use, the order's is not");
+}
+
 /// The first time that anybody looks at this client, the worker says something unasked on its idle connection.
 #[derive(Debug)]
 struct Meanwhile {
--- a/wrenseam/tests/schedules.rs
+++ b/wrenseam/tests/schedules.rs
@@ -268,14 +268,14 @@
 /// What is wrong with what came of one request, if anything.
 fn breach(class: &str, arrivals: &[Arrival], answers: &[&str]) -> Option<String> {
     for (n, later) in arrivals.iter().enumerate() {
-        for earlier in arrivals[..n].iter().filter(|earlier| earlier.ran) {
+        for earlier in arrivals[..n].iter().filter(|earlier| earlier.ran()) {
             let dropped = earlier.zone == later.zone && later.at - earlier.at <= WINDOW + SLACK;
             if class == UNSAFE || class == KEYED && !dropped {
                 return Some(format!("came whole again: {arrivals:?}"));
             }
         }
     }
-    let ran = arrivals.iter().any(|a| a.ran);
+    let ran = arrivals.iter().any(Arrival::ran);
     if class != SAFE && ran && answers.contains(&"refused") {
         return Some(format!("refused though it may have run: {arrivals:?}"));
     }
@@ -328,7 +328,8 @@
 #[test]
 fn the_account_sees_a_repeat() {
     let at = Instant::now();
-    let arrival = |zone, ran, ms| Arrival { at: at + Duration::from_millis(ms), zone, ran, act: Act::Serve };
+    let act = |ran: bool| if ran { Act::Serve } else { Act::Full };
+    let arrival = |zone, ran, ms| Arrival { at: at + Duration::from_millis(ms), zone, act: act(ran) };
     let (first, never) = (arrival(0, true, 0), arrival(0, false, 0));
     assert!(breach(UNSAFE, &[first, arrival(0, true, 9)], &[]).is_some());
     assert!(breach(UNSAFE, &[never, arrival(0, true, 9)], &["served"]).is_none());
--- a/wrenseam/tests/standin/mod.rs
+++ b/wrenseam/tests/standin/mod.rs
@@ -13,12 +13,17 @@
 pub struct Arrival {
     pub at: Instant,
     pub zone: usize,
-    /// Whether it may have run: the worker has not answered that it never did.
-    pub ran: bool,
     /// What the worker did with it.
     pub act: Act,
 }
 
+impl Arrival {
+    /// Whether it may have run: the worker has not answered that it never did.
+    pub fn ran(&self) -> bool {
+        !self.act.never_ran()
+    }
+}
+
 /// All calls that came whole, by the id that the client gave.
 pub type Ledger = Arc<Mutex<BTreeMap<u64, Vec<Arrival>>>>;
 
@@ -121,7 +126,7 @@
     fn take(&self, id: u64) -> Act {
         let troubled = self.die.percent(self.trouble);
         let act = if troubled { ACTS[self.die.below(ACTS.len() as u32) as usize] } else { Act::Serve };
-        let arrival = Arrival { at: Instant::now(), zone: self.zone, ran: !act.never_ran(), act };
+        let arrival = Arrival { at: Instant::now(), zone: self.zone, act };
         self.ledger.lock().expect("sound").entry(id).or_default().push(arrival);
         act
     }
