Repeats: their window counts from the decision; stand-in workers note a call when it comes

Root cause of a run of tests/schedules.rs that told of a keyed call 434 ms past its window: the stand-in of frames slept between a call and its late answer and read the next call on that connection only then (up to 120 ms each), so it noted calls late. A fault of the test. Found beside it by reading: the window was counted from when the core carried the action out, not from when the module decided it; a core that stands still between the two would let a repeat out so much later. Ruled out: a half-written repeat that goes on (its stall is looked at, tests/repeat_window.rs), the look at the window at begin. Change: the stand-in answers late from a thread of its own; Terms holds the instant by which a repeat must be whole, counted from the decision.

--- a/wrenseam/src/core/clock.rs
+++ b/wrenseam/src/core/clock.rs
@@ -1,6 +1,6 @@
 //! The module's clock: Unix microseconds at the start, then monotonic time.
 use bramblepath::Micros;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A clock that shares the epoch of the list's start times and never goes back.
 #[derive(Clone, Copy)]
@@ -21,6 +21,11 @@
         self.unix + instant.saturating_duration_since(self.start).as_micros() as Micros
     }
 
+    /// The instant of a time on this clock.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros(at.saturating_sub(self.unix))
+    }
+
     /// Now.
     pub fn now(&self) -> Micros {
         self.at(Instant::now())
--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -26,6 +26,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Arc;
+use std::time::Instant;
 use timers::{Due, Timers};
 
 const SWEEP: Micros = 1_000_000; // period in which idle connections are looked for
@@ -482,17 +483,22 @@
     fn decide(&mut self) {
         let mut actions = Vec::new();
         while let Some(event) = self.events.pop_front() {
-            self.controller.handle(self.clock.now(), event, &mut actions);
+            let decided = self.clock.now();
+            self.controller.handle(decided, event, &mut actions);
             for action in actions.drain(..) {
-                self.act(action);
+                self.act(decided, action);
             }
         }
     }
 
-    fn act(&mut self, action: Action) {
+    fn act(&mut self, decided: Micros, action: Action) {
         let now = self.clock.now();
         match action {
-            Action::Send { id, worker, timeout, window } => self.send(now, id, worker, (timeout, window)),
+            Action::Send { id, worker, timeout, window } => {
+                // Counted from the decision: this thread may have stood still since.
+                let whole_by = window.map(|window| self.clock.instant(decided.saturating_add(window)));
+                self.send(now, id, worker, (timeout, whole_by));
+            }
             Action::Cancel { id, attempt } => self.cancel(AttemptKey { request: id, attempt }),
             Action::Refuse { id, retry_after } => {
                 self.answer(id, Answer::Refused { wait: retry_after });
@@ -571,7 +577,7 @@
         closed.len() == over
     }
 
-    fn send(&mut self, now: Micros, id: u64, worker: String, (timeout, window): (Micros, Option<Micros>)) {
+    fn send(&mut self, now: Micros, id: u64, worker: String, (timeout, whole_by): (Micros, Option<Instant>)) {
         let room = self.room(&worker);
         let Some(open) = self.requests.get_mut(&id) else { return };
         let key = AttemptKey { request: id, attempt: open.attempts.len() };
@@ -589,7 +595,7 @@
             Some(_) if !room => self.end(key, Report::bare(Outcome::Full)),
             // (A client that left is known to its front before it is told here.)
             Some(peer) if !open.request.gone.load(Ordering::Acquire) && budget > 0 && allowed => {
-                peer.transport.send(key, &open.request, Terms { budget, repeat_window: window });
+                peer.transport.send(key, &open.request, Terms { budget, whole_by });
                 if let Some(attempt) = open.attempts.last_mut() {
                     attempt.carried = true;
                 }
--- a/wrenseam/src/worker/mod.rs
+++ b/wrenseam/src/worker/mod.rs
@@ -45,15 +45,15 @@
 pub struct Terms {
     /// How long its answer is waited for.
     pub budget: Micros,
-    /// For an attempt that repeats one that may have run: it must have been written whole within this span, as later
-    /// no worker drops it.
-    pub repeat_window: Option<Micros>,
+    /// For an attempt that repeats one that may have run: it must have been written whole by then, as later no worker
+    /// drops it.
+    pub whole_by: Option<Instant>,
 }
 
 impl Terms {
     /// A first attempt, or one that nothing but its budget bounds.
     pub fn within(budget: Micros) -> Self {
-        Terms { budget, repeat_window: None }
+        Terms { budget, whole_by: None }
     }
 }
 
--- a/wrenseam/src/worker/ticket.rs
+++ b/wrenseam/src/worker/ticket.rs
@@ -54,7 +54,7 @@
 
     /// A call for this request, sent at `now`.
     pub fn call(request: &Request, terms: Terms, now: Instant) -> Arc<Ticket> {
-        let whole_by = terms.repeat_window.map(|window| now + Duration::from_micros(window));
+        let whole_by = terms.whole_by;
         let until = now + Duration::from_micros(terms.budget);
         let until = whole_by.map_or(until, |by| by.min(until));
         Ticket::seen(request.gone.clone(), request.client_probe.clone(), (until, whole_by))
--- a/wrenseam/tests/repeat_window.rs
+++ b/wrenseam/tests/repeat_window.rs
@@ -22,7 +22,11 @@
 ) {
     let (listener, address, fillers) = late_worker();
     let (mut transport, reports) = transport_of(protocol, address, |l| l.connect = Duration::from_secs(20));
-    transport.send(FIRST, &request(9), Terms { budget: LONG, repeat_window: Some(window) });
+    transport.send(
+        FIRST,
+        &request(9),
+        Terms { budget: LONG, whole_by: Some(Instant::now() + Duration::from_micros(window)) },
+    );
     let since = Instant::now();
     while since.elapsed() <= Duration::from_micros(1_000) {
         std::thread::yield_now();
@@ -50,7 +54,7 @@
         (l.streams, l.write_stall) = (1_000, Duration::from_secs(60));
     });
     let all = 900;
-    let terms = Terms { budget: 60_000_000, repeat_window: Some(500_000) };
+    let terms = Terms { budget: 60_000_000, whole_by: Some(Instant::now() + Duration::from_millis(500)) };
     for n in 0..all {
         let plain = Arc::into_inner(request(n)).expect("ours alone");
         let call = Arc::new(Request { payload: Payload::Bytes(vec![n as u8; 16_000]), ..plain });
--- a/wrenseam/tests/standin/mod.rs
+++ b/wrenseam/tests/standin/mod.rs
@@ -158,6 +158,8 @@
 }
 
 fn serve_frames(worker: &Worker, mut stream: TcpStream) {
+    let Ok(back) = stream.try_clone() else { return };
+    let back = Arc::new(Mutex::new(back));
     loop {
         if worker.cuts() {
             let _ = bytes(&mut stream, 20); // a part of the next frame
@@ -173,7 +175,7 @@
         let answers = match head[1] {
             2 => worker.take(id),
             6 => {
-                let _ = stream.write_all(&frame(200, id, "slots_up=1", b""));
+                say(&back, frame(200, id, "slots_up=1", b""), 0);
                 continue;
             }
             _ => continue,
@@ -181,11 +183,7 @@
         let served = frame(200, id, "detail=resident", b"DONE");
         let bare = |code| frame(code, id, "", b"");
         let (answer, again) = match answers {
-            Act::Serve => (served, false),
-            Act::ServeLate => {
-                worker.pause(120);
-                (served, false)
-            }
+            Act::Serve | Act::ServeLate => (served, false),
             Act::ServeTwice => (served, true),
             Act::Fail => (bare(204), false),
             Act::Miss => (bare(202), false),
@@ -194,7 +192,10 @@
             Act::Over => (bare(205), false),
             Act::Silent => continue,
             Act::Reset => return reset(&stream),
-            Act::Close => return,
+            Act::Close => {
+                let _ = stream.shutdown(Shutdown::Both);
+                return;
+            }
             Act::HalfClose => {
                 let _ = stream.shutdown(Shutdown::Write);
                 continue; // what is still written to it comes
@@ -210,16 +211,29 @@
                 (spoilt, false)
             }
         };
-        if stream.write_all(&answer).is_err() {
-            return;
-        }
+        let late = if answers == Act::ServeLate { worker.die.below(120) } else { 0 };
+        say(&back, answer.clone(), late);
         if again {
-            worker.pause(10);
-            let _ = stream.write_all(&answer); // the connection may have ended
+            say(&back, answer, late + worker.die.below(10));
         }
     }
 }
 
+/// Writes an answer after so long, while what comes next is read: it is noted when it comes.
+fn say(back: &Arc<Mutex<TcpStream>>, answer: Vec<u8>, after_ms: u32) {
+    let back = back.clone();
+    let write = move || {
+        let _ = back.lock().expect("sound").write_all(&answer); // the connection may have ended
+    };
+    if after_ms == 0 {
+        return write();
+    }
+    std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(after_ms.into()));
+        write();
+    });
+}
+
 /// Head and body of the next HTTP request.
 fn http_request(stream: &mut TcpStream) -> Option<(String, String)> {
     let mut head = Vec::new();
