Core: requests, attempts, peers and inspection on files of their own

Ruled out: a change of behaviour; functions moved as they were. Change: four files under the core's folder, mod.rs 366 lines.

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -1,8 +1,12 @@
 //! The one thread that owns the decision module. Fronts, transports and the roster reach it through its
 //! queue only; it knows requests, attempts, outcomes and members, and no wire.
+mod attempts;
 mod clock;
 mod fleet;
+mod inspect;
 mod operate;
+mod peers;
+mod requests;
 mod telemetry;
 mod timers;
 mod types;
@@ -14,19 +18,15 @@
 
 use crate::fleet::Lifecycle;
 use crate::limits::Limits;
-use crate::membership::{Change, Duty, Membership};
+use crate::membership::Membership;
 use crate::net::{DirectCalls, SystemCalls};
-use crate::worker::{pool, transport, GiveUp, Reports, Terms, Transport};
-use bramblepath::json::position;
-use bramblepath::{
-    Action, Controller, Effect, Entry, Event, Micros, Outcome, Settings, WorkerState, ZoneNames,
-};
-use miniserde::json::{self, Number, Object, Value};
+use crate::worker::{GiveUp, Reports};
+use bramblepath::{Action, Controller, Event, Micros, Outcome, Settings, WorkerState, ZoneNames};
+use peers::Peer;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Arc;
-use std::time::Instant;
 use timers::{Due, Timers};
 
 const SWEEP: Micros = 1_000_000; // period in which idle connections are looked for
@@ -92,36 +92,6 @@
     attempts: Vec<Attempt>,
 }
 
-struct Peer {
-    member: Member,
-    transport: Box<dyn Transport>,
-    /// The ways to where it stood before: they take nothing new, and stay until what is open there has ended.
-    former: Vec<Box<dyn Transport>>,
-}
-
-impl Peer {
-    fn each(&mut self) -> impl Iterator<Item = &mut Box<dyn Transport>> {
-        std::iter::once(&mut self.transport).chain(&mut self.former)
-    }
-
-    /// Gives an attempt up, wherever it is.
-    fn cancel(&mut self, key: AttemptKey) -> GiveUp {
-        self.each().map(|t| t.cancel(key)).fold(GiveUp::Unknown, |found, told| match told {
-            GiveUp::Unknown => found,
-            told => told,
-        })
-    }
-
-    fn is_idle(&self) -> bool {
-        self.transport.is_idle() && self.former.iter().all(|t| t.is_idle())
-    }
-
-    fn sweep(&mut self) {
-        self.each().for_each(|t| t.sweep());
-        self.former.retain(|t| !t.is_idle());
-    }
-}
-
 #[derive(Clone, Default)]
 struct Counts {
     asked: u64,
@@ -281,145 +251,6 @@
         self.decide();
     }
 
-    fn request(&mut self, request: Request, client: Arc<dyn Client>, tag: u64) {
-        let class = self.settings.class(&request.class);
-        let tenant = self.settings.tenant(&request.tenant);
-        let known = self.settings.classes.get(class);
-        // Guards keyed work: without its key no worker could drop a repeat.
-        let keyed = known.is_some_and(|c| c.effect == Effect::Keyed);
-        let fault = match () {
-            () if known.is_none() => Some("unknown class"),
-            () if tenant.is_none() && !self.settings.tenants.is_empty() => Some("unknown tenant"),
-            () if keyed && request.token.is_none() => Some("keyed class without a key"),
-            // Guards the one that is open: a worker would be asked for two bodies under one id.
-            () if self.wire_ids.contains(&request.wire_id) => Some("a request of this id is open"),
-            () => None,
-        };
-        if let Some(fault) = fault {
-            note!("request {:016x}: failed, {fault}", request.wire_id);
-            self.tally.ended(class, Ended::Failed);
-            return client.answer(tag, Answer::Failed);
-        }
-        let now = self.clock.now();
-        if let Some(wait) = self.gate.as_mut().and_then(|g| g.sheds(now, class)) {
-            // Shed in common with the fleet: answered at once, with when to come back.
-            self.tally.ended(class, Ended::Rejected);
-            self.count(tenant).asked += 1;
-            return client.answer(tag, Answer::Refused { wait });
-        }
-        self.last += 1;
-        let id = self.last;
-        let left = self.left(now, &request);
-        self.events.push_back(Event::Request {
-            id,
-            class,
-            tenant,
-            function: request.function,
-            left,
-            memory_mb: request.memory_mb,
-            lanes: request.lanes,
-            load_time: request.load_time,
-            retry: request.retry,
-        });
-        self.by_client.insert((client.connection(), tag), id);
-        self.wire_ids.insert(request.wire_id);
-        self.shared.open.fetch_add(1, Ordering::AcqRel);
-        self.count(tenant).asked += 1;
-        // The module ends each request in time; this guards the promise should it not.
-        self.timers.set(now.saturating_add(left), Due::Request(id));
-        let (request, answered, attempts) = (Arc::new(request), false, Vec::new());
-        self.requests.insert(id, Open { request, client, tag, tenant, class, answered, attempts });
-    }
-
-    /// What is left of a client's wait, less what its answer may need. Guards against answers lost to a
-    /// machine that stands still for some tens of milliseconds just before a client leaves.
-    fn left(&self, now: Micros, request: &Request) -> Micros {
-        let past = now.saturating_sub(self.clock.at(request.read_at));
-        request.wait.saturating_sub(past + self.limits.margin(request.wait))
-    }
-
-    fn count(&mut self, tenant: Option<usize>) -> &mut Counts {
-        let last = self.counts.len() - 1;
-        &mut self.counts[tenant.unwrap_or(last).min(last)]
-    }
-
-    fn withdrawn(&mut self, id: u64) {
-        if self.close(id).is_some() {
-            self.events.push_back(Event::Withdrawn { id });
-            self.decide();
-            self.forget(id);
-        }
-    }
-
-    /// Ends what is owed for a request; `None` if that was over already.
-    fn close(&mut self, id: u64) -> Option<(Arc<dyn Client>, u64, Option<usize>)> {
-        let open = self.requests.get_mut(&id).filter(|o| !o.answered)?;
-        open.answered = true;
-        // What of it still waits to be written is for nobody.
-        open.request.gone.store(true, Ordering::Release);
-        let (client, tag, tenant) = (open.client.clone(), open.tag, open.tenant);
-        self.wire_ids.remove(&open.request.wire_id);
-        self.by_client.remove(&(client.connection(), tag));
-        Some((client, tag, tenant))
-    }
-
-    /// The one final answer; a second one goes nowhere.
-    fn answer(&mut self, id: u64, answer: Answer) {
-        let class = self.requests.get(&id).map_or(usize::MAX, |o| o.class);
-        let Some((client, tag, tenant)) = self.close(id) else { return };
-        let counts = self.count(tenant);
-        let how = match &answer {
-            Answer::Served(_) => (counts.served += 1, Ended::Completed).1,
-            Answer::Refused { .. } => (counts.refused += 1, Ended::Rejected).1,
-            Answer::Failed => (counts.failed += 1, Ended::Failed).1,
-        };
-        self.tally.ended(class, how);
-        client.answer(tag, answer);
-    }
-
-    /// Drops a request's record once nothing of it is open.
-    fn forget(&mut self, id: u64) {
-        if self.requests.get(&id).is_some_and(|o| o.answered && !o.attempts.iter().any(|a| a.open)) {
-            self.requests.remove(&id);
-            self.shared.open.fetch_sub(1, Ordering::AcqRel);
-        }
-    }
-
-    /// An attempt ended, and the module hears of it at once.
-    fn ended(&mut self, key: AttemptKey, report: Report) {
-        self.end(key, report);
-        self.decide();
-        self.forget(key.request);
-    }
-
-    /// The end of an attempt, once: reports of an attempt that has ended already are dropped. The module hears
-    /// of it as its next event.
-    fn end(&mut self, key: AttemptKey, report: Report) {
-        let (id, attempt) = (key.request, key.attempt);
-        let Some(open) = self.requests.get_mut(&id) else { return };
-        let Some(out) = open.attempts.get_mut(attempt).filter(|a| a.open) else { return };
-        out.open = false;
-        if out.carried && matches!(report.outcome, Outcome::ConnectFailed | Outcome::Moot) {
-            self.tally.unsent();
-        }
-        let elapsed = self.clock.now().saturating_sub(out.sent);
-        let Report { outcome, warm, crowd, payload } = report;
-        if let (Outcome::Ok, Some(payload)) = (outcome, payload) {
-            self.answer(id, Answer::Served(payload));
-        }
-        let (closed, inflight) = (self.requests.get(&id).is_none_or(|o| o.answered), None);
-        self.events.push_back(Event::Outcome {
-            id,
-            attempt,
-            outcome,
-            elapsed,
-            closed,
-            warm,
-            crowd,
-            inflight,
-        });
-    }
-
     fn ordered(&mut self, order: u64, outcome: Outcome, count: u32) {
         let Some((worker, function, since)) = self.orders.remove(&order) else { return };
         let elapsed = self.clock.now().saturating_sub(since);
@@ -532,156 +363,4 @@
             Action::Watch => {} // the board tells by itself
         }
     }
-
-    /// Calls an attempt off. While its request is owed an answer it stays open until its worker has been told: what the
-    /// module sends in its place must not be out beside it.
-    fn cancel(&mut self, key: AttemptKey) {
-        let Some(open) = self.requests.get(&key.request) else { return };
-        let Some(attempt) = open.attempts.get(key.attempt).filter(|a| a.open) else { return };
-        let owed = !open.answered;
-        let peer = self.peers.get_mut(&attempt.worker);
-        let outcome = match peer.map_or(GiveUp::Unknown, |p| p.cancel(key)) {
-            GiveUp::NeverBegun => Outcome::Moot,
-            GiveUp::Pending if owed => return, // its report follows; its time-out should that stay out
-            GiveUp::Pending | GiveUp::Unknown => Outcome::Cancelled,
-        };
-        self.end(key, Report::bare(outcome));
-        self.forget(key.request);
-    }
-
-    /// Whether a call to this worker finds a connection or may open one: where descriptors run short, the
-    /// connections idle longest close for it, whoever they lead to.
-    fn room(&mut self, worker: &str) -> bool {
-        if !self.peers.get(worker).is_some_and(|p| p.transport.connections().1) {
-            return true;
-        }
-        self.trim(1)
-    }
-
-    /// Closes idle connections until `more` may be opened; false if too many are in use.
-    fn trim(&mut self, more: usize) -> bool {
-        let clients = self.shared.clients.load(Ordering::Acquire);
-        let each = self.peers.values_mut().flat_map(Peer::each);
-        let open: usize = each.map(|t| t.connections().0).sum();
-        let over = self.limits.pool.over(open, more, clients);
-        if over == 0 {
-            return true;
-        }
-        let idle = self.peers.iter().filter_map(|(id, p)| Some((id.clone(), p.transport.idle_since()?)));
-        let closed = pool::longest_idle(idle.collect(), over);
-        for id in &closed {
-            if let Some(peer) = self.peers.get_mut(id) {
-                peer.transport.close_idle();
-            }
-        }
-        closed.len() == over
-    }
-
-    fn send(&mut self, now: Micros, id: u64, worker: String, (timeout, whole_by): (Micros, Option<Instant>)) {
-        let room = self.room(&worker);
-        let Some(open) = self.requests.get_mut(&id) else { return };
-        let key = AttemptKey { request: id, attempt: open.attempts.len() };
-        let request = open.request.clone();
-        let left = self.left(now, &request);
-        let budget = if timeout == 0 { left } else { timeout.min(left) };
-        let Some(open) = self.requests.get_mut(&id) else { return };
-        let extra = !open.attempts.is_empty();
-        // The fleet's retry budget: an extra attempt that it refuses is moot, as one to a worker that is not.
-        let allowed = self.gate.as_mut().is_none_or(|g| g.attempt(now, extra));
-        open.attempts.push(Attempt { worker: worker.clone(), sent: now, open: true, carried: false });
-        let ready = |p: &&mut Peer| p.member.state == WorkerState::Ready;
-        match self.peers.get_mut(&worker).filter(ready) {
-            // Nothing ran, and this worker is left alone for a while.
-            Some(_) if !room => self.end(key, Report::bare(Outcome::Full)),
-            // (A client that left is known to its front before it is told here.)
-            Some(peer) if !open.request.gone.load(Ordering::Acquire) && budget > 0 && allowed => {
-                peer.transport.send(key, &open.request, Terms { budget, whole_by });
-                if let Some(attempt) = open.attempts.last_mut() {
-                    attempt.carried = true;
-                }
-                self.tally.sent();
-                self.timers.set(now.saturating_add(budget), Due::Attempt(key));
-            }
-            _ => {
-                self.end(key, Report::bare(Outcome::Moot));
-                self.forget(id);
-            }
-        }
-    }
-
-    fn members(&mut self, source: Speech, full: bool, members: Vec<Member>) {
-        let changes = self.members.take(source, full, members);
-        self.apply(changes);
-        self.shared.ready.store(true, Ordering::Release);
-    }
-
-    /// Carries out changes of members: their connections, and the module's list.
-    fn apply(&mut self, changes: Vec<Change>) {
-        let mut entries = Vec::new();
-        for Change { member, duty } in changes {
-            entries.push(Entry {
-                worker: member.id.clone(),
-                state: member.state,
-                started_at: member.started_at,
-                zone: self.zones.position(&member.zone),
-                kind: position(&self.settings.kinds, Some(&member.kind)),
-                cell: member.cell,
-            });
-            eprintln!("member {}: {:?} at {}", member.id, member.state, member.address);
-            let mut former = Vec::new();
-            if let Some(mut peer) = self.peers.remove(&member.id) {
-                if duty != Duty::Keep {
-                    peer.transport.retire();
-                }
-                if duty != Duty::Reach {
-                    peer.member = member;
-                    self.peers.insert(peer.member.id.clone(), peer);
-                    continue;
-                }
-                // What is open at its former place ends there, and cancels find it.
-                former = peer.former;
-                former.push(peer.transport);
-            }
-            let to = transport(member.speech, member.address, &self.limits, &self.reports, &self.calls);
-            self.peers.insert(member.id.clone(), Peer { member, transport: to, former });
-        }
-        if !entries.is_empty() {
-            self.events.push_back(Event::Members { full: false, entries });
-        }
-    }
-
-    /// Tenants with their quotas and counts, members and open requests, as JSON.
-    fn inspect(&self) -> String {
-        let object = |fields: Vec<(&str, Value)>| {
-            Value::Object(fields.into_iter().map(|(k, v)| (k.to_owned(), v)).collect::<Object>())
-        };
-        let count = |n: u64| Value::Number(Number::U64(n));
-        let tenants = self.counts.iter().enumerate().map(|(t, c)| {
-            let told = self.settings.tenants.get(t);
-            object(vec![
-                ("name", Value::String(told.map_or("(unknown)", |t| &t.name).to_owned())),
-                ("quota_per_s", Value::Number(Number::F64(told.map_or(0.0, |t| t.quota_per_s)))),
-                ("asked", count(c.asked)),
-                ("served", count(c.served)),
-                ("refused", count(c.refused)),
-                ("failed", count(c.failed)),
-                ("withdrawn", count(c.withdrawn)),
-            ])
-        });
-        let endpoints = self.peers.values().map(|p| {
-            object(vec![
-                ("name", Value::String(p.member.id.clone())),
-                ("address", Value::String(p.member.address.to_string())),
-                ("state", Value::String(format!("{:?}", p.member.state).to_lowercase())),
-                ("zone", Value::String(p.member.zone.clone())),
-                ("speech", Value::String(format!("{:?}", p.member.speech).to_lowercase())),
-            ])
-        });
-        let fields = vec![
-            ("tenants", Value::Array(tenants.collect())),
-            ("endpoints", Value::Array(endpoints.collect())),
-            ("open_requests", count(self.requests.len() as u64)),
-        ];
-        json::to_string(&object(fields))
-    }
 }
