--- a/wrenseam/tests/broken_connections.rs
+++ b/wrenseam/tests/broken_connections.rs
@@ -9,7 +9,7 @@
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::mpsc::{channel, Sender};
+use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use wrenseam::core::Message;
@@ -70,21 +70,40 @@
     drop(stream); // sends a reset
 }
 
-/// The worker has read the frame whole and ends its connection while the write that carried it has not returned: the
-/// call may have run, and is not reported as one that never did.
-#[rstest]
-fn a_frame_whose_write_has_not_returned_may_have_run(#[values("close", "reset")] end: &str) {
+/// A call of which the write is held, and the worker's side of it.
+struct Held {
+    transport: Frames,
+    reports: Receiver<Message>,
+    is_written: Receiver<usize>,
+    let_go: may::sync::mpmc::Sender<()>,
+    stream: TcpStream,
+}
+
+fn held_call() -> Held {
+    let (written, is_written) = channel();
+    let (let_go, go_on) = may::sync::mpmc::channel();
+    let (mut transport, reports, listener) =
+        transport_with(Arc::new(HeldWrites { written: Mutex::new(written), go_on }));
+    transport.send(FIRST, &request(9), Terms::within(LONG));
+    let stream = listener.accept().expect("a connection").0;
+    Held { transport, reports, is_written, let_go, stream }
+}
+
+/// A transport that makes these calls, what it reports, and where its worker listens.
+fn transport_with(calls: Arc<dyn SystemCalls>) -> (Frames, Receiver<Message>, TcpListener) {
     may::config().set_workers(1).set_worker_pin(false); // as the program has it
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("bound");
-    let (written, is_written) = channel();
-    let (let_go, go_on) = may::sync::mpmc::channel();
-    let calls = HeldWrites { written: Mutex::new(written), go_on };
     let (queue, reports) = channel::<Message>();
     let limits = Arc::new(Limits::new(192, 1024, &Settings::default()));
-    let mut transport = Frames::new(address, limits, Reports(queue)).with_calls(Arc::new(calls));
-    transport.send(FIRST, &request(9), Terms::within(LONG));
-    let mut stream = listener.accept().expect("a connection").0;
+    (Frames::new(address, limits, Reports(queue)).with_calls(calls), reports, listener)
+}
+
+/// The worker has read the frame whole and ends its connection while the write that carried it has not returned: the
+/// call may have run, and is not reported as one that never did.
+#[rstest]
+fn a_frame_whose_write_has_not_returned_may_have_run(#[values("close", "reset")] end: &str) {
+    let Held { transport: _transport, reports, is_written, let_go, mut stream } = held_call();
     assert_eq!(frame(&mut stream), (9, 2), "it has come whole");
     is_written.recv_timeout(Duration::from_secs(20)).expect("written");
     match end {
@@ -124,17 +143,7 @@
 /// request may follow at once, and where two must not be out together the first is over by then.
 #[test]
 fn an_attempt_is_called_off_once_its_worker_has_been_told() {
-    may::config().set_workers(1).set_worker_pin(false); // as the program has it
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("bound");
-    let (written, is_written) = channel();
-    let (let_go, go_on) = may::sync::mpmc::channel();
-    let calls = HeldWrites { written: Mutex::new(written), go_on };
-    let (queue, reports) = channel::<Message>();
-    let limits = Arc::new(Limits::new(192, 1024, &Settings::default()));
-    let mut transport = Frames::new(address, limits, Reports(queue)).with_calls(Arc::new(calls));
-    transport.send(FIRST, &request(9), Terms::within(LONG));
-    let mut stream = listener.accept().expect("a connection").0;
+    let Held { mut transport, reports, is_written, let_go, mut stream } = held_call();
     assert_eq!(frame(&mut stream), (9, 2));
     is_written.recv().expect("written");
     assert_eq!(transport.cancel(FIRST), GiveUp::Pending);
@@ -152,14 +161,9 @@
 /// told to have never run.
 #[test]
 fn a_call_that_is_turned_away_in_the_middle_never_comes_whole() {
-    may::config().set_workers(1).set_worker_pin(false); // as the program has it
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("bound");
     let allowed = Arc::new(AtomicUsize::new(30));
-    let (queue, reports) = channel::<Message>();
-    let limits = Arc::new(Limits::new(192, 1024, &Settings::default()));
-    let calls = Arc::new(ShortWrites { allowed: allowed.clone() });
-    let mut transport = Frames::new(address, limits, Reports(queue)).with_calls(calls);
+    let (mut transport, reports, listener) =
+        transport_with(Arc::new(ShortWrites { allowed: allowed.clone() }));
     transport.send(FIRST, &request(9), Terms::within(LONG));
     let mut stream = listener.accept().expect("a connection").0;
     stream.read_exact(&mut [0; 30]).expect("the beginning");
--- a/wrenseam/tests/kserve_proofs.rs
+++ b/wrenseam/tests/kserve_proofs.rs
@@ -11,8 +11,8 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use wrenseam::core::{AttemptKey, ClientProbe, ClientState, Request};
-use wrenseam::worker::Terms;
+use wrenseam::core::{AttemptKey, ClientProbe, ClientState, Message, Request};
+use wrenseam::worker::{Terms, Transport};
 
 const LONG: u64 = 20_000_000;
 
@@ -100,6 +100,25 @@
     assert_eq!(outcome(&reports), (1, proves));
 }
 
+/// A worker that has served its first call, by its id, on a connection that is kept.
+struct Served {
+    transport: Box<dyn Transport>,
+    reports: Receiver<Message>,
+    calls: Receiver<Come>,
+    first: usize,
+    back: TcpStream,
+}
+
+fn served_call() -> Served {
+    let (address, calls) = worker();
+    let (mut transport, reports) = transport_of(Protocol::Kserve, address, |_| {});
+    transport.send(attempt(1), &request(1), Terms::within(LONG));
+    let (first, mut back) = next(&calls);
+    back.write_all(served(Some(1)).as_bytes()).expect("answered");
+    assert_eq!(outcome(&reports), (1, Outcome::Ok));
+    Served { transport, reports, calls, first, back }
+}
+
 /// A refusal comes twice, the second time behind the next call: it is not taken for that call's answer. Refusals name no
 /// call, so the connection that carried one carries no other call.
 #[test]
@@ -122,12 +141,7 @@
 /// this one is not known.
 #[test]
 fn a_second_answer_is_not_taken_for_that_of_the_next_call() {
-    let (address, calls) = worker();
-    let (mut transport, reports) = transport_of(Protocol::Kserve, address, |_| {});
-    transport.send(attempt(1), &request(1), Terms::within(LONG));
-    let (first, mut back) = next(&calls);
-    back.write_all(served(Some(1)).as_bytes()).expect("answered");
-    assert_eq!(outcome(&reports), (1, Outcome::Ok));
+    let Served { mut transport, reports, calls, first, .. } = served_call();
     transport.send(attempt(2), &request(2), Terms::within(LONG));
     let (second, mut back) = next(&calls);
     assert_eq!(first, second, "a kept connection is used again");
@@ -157,12 +171,7 @@
 /// prove of the other that it never ran; a schedule under load found that (`tests/schedules.rs`).
 #[test]
 fn an_order_does_not_share_a_connection_with_calls() {
-    let (address, calls) = worker();
-    let (mut transport, reports) = transport_of(Protocol::Kserve, address, |_| {});
-    transport.send(attempt(1), &request(1), Terms::within(LONG));
-    let (first, mut back) = next(&calls);
-    back.write_all(served(Some(1)).as_bytes()).expect("answered");
-    assert_eq!(outcome(&reports), (1, Outcome::Ok));
+    let Served { mut transport, reports, calls, first, .. } = served_call();
     transport.order(1, 7, 1);
     let (ordered, mut back) = next(&calls);
     assert_ne!(first, ordered, "a connection of its own");
@@ -209,12 +218,7 @@
 /// which goes out on a connection of its own.
 #[test]
 fn what_comes_before_the_first_byte_is_no_answer() {
-    let (address, calls) = worker();
-    let (mut transport, reports) = transport_of(Protocol::Kserve, address, |_| {});
-    transport.send(attempt(1), &request(1), Terms::within(LONG));
-    let (first, mut back) = next(&calls);
-    back.write_all(served(Some(1)).as_bytes()).expect("answered");
-    assert_eq!(outcome(&reports), (1, Outcome::Ok));
+    let Served { mut transport, reports, calls, first, back } = served_call();
     let plain = Arc::into_inner(request(2)).expect("ours alone");
     let client_probe = Meanwhile { worker: Mutex::new(back), said: AtomicBool::new(false) };
     let call = Arc::new(Request { client_probe: Some(Arc::new(client_probe)), ..plain });
