Log why attempts, orders and requests end, and losses of contact with discovery

Need: the incident's logs show connection errors by the hundred, but not since when the list is unconfirmed, and nothing of the attempts that draining workers turned away; both had to be read from the other sides' records.

Change: the discovery client reports to the core when a request is answered and settled (a comment, no event for 250 ms, no event incomplete) and when contact is lost (Broken, Silent, Unreachable, Moved by SIGHUP). No decision changes.

Ruled out: a line for each failed reconnect with its age, as those are hundreds.

Measured: whole test command green, new texts and figures pinned in core_log_lines.rs and telemetry.rs.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -98,6 +98,7 @@
 mod placement;
 mod polling;
 mod random;
+pub mod readiness_lease;
 mod rejections;
 mod rendezvous;
 mod replica;
--- a/wrenseam/src/core/admin.rs
+++ b/wrenseam/src/core/admin.rs
@@ -36,8 +36,12 @@
             .iter()
             .map(|class| class.name.clone())
             .collect();
-        self.request_counters
-            .telemetry(&class_names, self.gauges(), self.fleet_admission.as_ref())
+        self.request_counters.telemetry(
+            &class_names,
+            self.gauges(),
+            self.discovery_figures(),
+            self.fleet_admission.as_ref(),
+        )
     }
 
     fn gauges(&self) -> Gauges {
--- a/wrenseam/src/core/attempts.rs
+++ b/wrenseam/src/core/attempts.rs
@@ -1,4 +1,5 @@
 //! Attempts: how they are sent, cancelled and ended.
+use super::log_lines::LogLine;
 use super::timers::TimerEvent;
 use super::Core;
 use crate::model::{Answer, AttemptKey, AttemptReport, Request};
@@ -105,10 +106,12 @@
             return;
         };
         let elapsed = self.clock.now().saturating_sub(attempt.started_at());
+        let worker = attempt.worker().to_owned();
         let not_written = matches!(report.outcome, Outcome::ConnectFailed | Outcome::NotSent);
         if attempt.handed_over() && not_written {
             self.request_counters.record_attempt_not_sent();
         }
+        self.log_attempt_end(key, &worker, report.outcome, elapsed);
         if let (Outcome::Ok, Some(payload)) = (report.outcome, report.payload) {
             self.answer(key.request, Answer::Served(payload));
         }
@@ -123,4 +126,22 @@
             in_flight: None,
         }));
     }
+
+    /// Logs an end that asks for a retry or a rejection.
+    fn log_attempt_end(&self, key: AttemptKey, worker: &str, outcome: Outcome, elapsed: Micros) {
+        if matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
+            return;
+        }
+        let Some(request) = self.requests.request(key.request) else {
+            return;
+        };
+        let line = LogLine::AttemptNotServed {
+            wire_id: request.wire_id,
+            attempt: key.attempt,
+            worker,
+            outcome,
+            elapsed,
+        };
+        note!("{line}");
+    }
 }
--- a/wrenseam/src/core/counters.rs
+++ b/wrenseam/src/core/counters.rs
@@ -1,6 +1,6 @@
 //! What the core counts: request ends by class and attempts for `telemetry`, and requests by tenant for `/v1/state`.
 //! All counts start from 0 in each process.
-use super::FleetAdmission;
+use super::{DiscoveryFigures, FleetAdmission};
 use crate::model::RequestEnd;
 use std::fmt::Write;
 
@@ -66,11 +66,13 @@
         self.attempts_sent = self.attempts_sent.saturating_sub(1);
     }
 
-    /// The answer to `telemetry`: one figure a line, the fleet's figures where it is on, then `END`.
+    /// The answer to `telemetry`: one figure a line, discovery's where it is followed, the fleet's where it is on, then
+    /// `END`.
     pub fn telemetry(
         &self,
         class_names: &[String],
         gauges: Gauges,
+        discovery: Option<DiscoveryFigures>,
         fleet: Option<&FleetAdmission>,
     ) -> String {
         let mut text = String::new();
@@ -79,6 +81,9 @@
         let _ = writeln!(text, "app.pending:{}|g", gauges.pending);
         let _ = writeln!(text, "app.members:{}|g", gauges.members);
         let _ = writeln!(text, "app.members_unavailable:{}|g", gauges.unavailable);
+        if let Some(discovery) = discovery {
+            discovery.write_telemetry(&mut text);
+        }
         if let Some(fleet) = fleet {
             fleet.write_telemetry(&mut text);
         }
--- a/wrenseam/src/core/load_orders.rs
+++ b/wrenseam/src/core/load_orders.rs
@@ -1,4 +1,5 @@
 //! Load orders: how workers are ordered to load replicas, and how such orders end.
+use super::log_lines::LogLine;
 use super::tables::LoadOrder;
 use super::timers::TimerEvent;
 use super::Core;
@@ -50,6 +51,15 @@
             return;
         };
         let elapsed = self.clock.now().saturating_sub(order.ordered_at);
+        if outcome != Outcome::Ok {
+            let line = LogLine::LoadOrderFailed {
+                function: order.function,
+                worker: &order.worker,
+                outcome,
+                elapsed,
+            };
+            note!("{line}");
+        }
         self.events.push_back(Event::LoadOrderEnded {
             worker: order.worker,
             function: order.function,
--- a/wrenseam/src/core/log_lines.rs
+++ b/wrenseam/src/core/log_lines.rs
@@ -1,7 +1,10 @@
 //! The texts of the log lines that the core writes. docs/oncall.md lists them with what to do about each.
-use crate::model::Endpoint;
+use crate::model::{Endpoint, RequestEnd};
 use std::fmt::{Display, Formatter, Result};
-use wrenseam_policy::Micros;
+use wrenseam_policy::readiness_lease::Interruption;
+use wrenseam_policy::{FunctionId, Micros, Outcome};
+
+const MICROS_PER_MILLI: Micros = 1_000;
 
 /// Why a request is answered as failed at its arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -37,6 +40,53 @@
         /// Why.
         reason: InvalidRequest,
     },
+    /// A worker did not serve an attempt.
+    AttemptNotServed {
+        /// The id that its client gave the request.
+        wire_id: u64,
+        /// The attempt's number.
+        attempt: usize,
+        /// The worker that it went to.
+        worker: &'a str,
+        /// How it ended.
+        outcome: Outcome,
+        /// Time since it was sent.
+        elapsed: Micros,
+    },
+    /// A request got another final answer than a worker's.
+    RequestNotServed {
+        /// The id that its client gave.
+        wire_id: u64,
+        /// The answer.
+        end: RequestEnd,
+        /// Attempts that were made.
+        attempts: usize,
+        /// Time since it was received.
+        elapsed: Micros,
+    },
+    /// An order to load did not succeed.
+    LoadOrderFailed {
+        /// The function.
+        function: FunctionId,
+        /// The worker that was ordered.
+        worker: &'a str,
+        /// How it ended.
+        outcome: Outcome,
+        /// Time since the order.
+        elapsed: Micros,
+    },
+    /// Nothing is received from the discovery service any more.
+    DiscoveryLost {
+        /// Why.
+        cause: Interruption,
+        /// Time since the list was last confirmed, if it was in this process.
+        age: Option<Micros>,
+    },
+    /// The endpoint list is confirmed again.
+    DiscoveryRegained {
+        /// Time since the contact was lost.
+        outage: Micros,
+    },
     /// The policy logs this text.
     Policy(&'a str),
     /// The endpoint lists or an operator changed a worker.
@@ -58,7 +108,7 @@
                 overdue,
                 open_requests,
             } => {
-                let overdue_ms = overdue / 1000;
+                let overdue_ms = overdue / MICROS_PER_MILLI;
                 write!(
                     f,
                     "core: timers {overdue_ms} ms late, {open_requests} requests open"
@@ -67,6 +117,54 @@
             LogLine::InvalidRequest { wire_id, reason } => {
                 write!(f, "request {wire_id:016x}: failed, {reason}")
             }
+            LogLine::AttemptNotServed {
+                wire_id,
+                attempt,
+                worker,
+                outcome,
+                elapsed,
+            } => write!(
+                f,
+                "request {wire_id:016x}: attempt {attempt} at {worker} ended after {} ms: {outcome:?}",
+                elapsed / MICROS_PER_MILLI
+            ),
+            LogLine::RequestNotServed {
+                wire_id,
+                end,
+                attempts,
+                elapsed,
+            } => write!(
+                f,
+                "request {wire_id:016x}: {end:?} after {} ms, attempts {attempts}",
+                elapsed / MICROS_PER_MILLI
+            ),
+            LogLine::LoadOrderFailed {
+                function,
+                worker,
+                outcome,
+                elapsed,
+            } => write!(
+                f,
+                "load order: {function:016x} at {worker} ended after {} ms: {outcome:?}",
+                elapsed / MICROS_PER_MILLI
+            ),
+            LogLine::DiscoveryLost {
+                cause,
+                age: Some(age),
+            } => write!(
+                f,
+                "discovery: contact lost ({cause:?}), the list was confirmed {} ms ago",
+                age / MICROS_PER_MILLI
+            ),
+            LogLine::DiscoveryLost { cause, age: None } => write!(
+                f,
+                "discovery: contact lost ({cause:?}), the list was never confirmed"
+            ),
+            LogLine::DiscoveryRegained { outage } => write!(
+                f,
+                "discovery: contact regained after {} ms, the list is confirmed",
+                outage / MICROS_PER_MILLI
+            ),
             LogLine::Policy(text) => write!(f, "policy: {text}"),
             LogLine::EndpointChanged(endpoint) => {
                 let Endpoint {
--- a/wrenseam/src/core/messages.rs
+++ b/wrenseam/src/core/messages.rs
@@ -31,6 +31,7 @@
                 complete,
                 endpoints,
             } => self.update_endpoints(source, complete, endpoints),
+            Message::DiscoveryContact(contact) => self.handle_discovery_contact(contact),
             Message::Inspect { reply } => {
                 let _ = reply.send(self.state_report()); // the caller may have disconnected
             }
--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod admin;
 mod attempts;
 mod counters;
+mod discovery_contact;
 mod endpoints;
 mod fleet_admission;
 mod load_orders;
@@ -20,6 +21,7 @@
 pub mod timers;
 
 pub use counters::{Gauges, RequestCounters, TenantCounters, TenantCounts};
+pub use discovery_contact::DiscoveryFigures;
 pub use fleet_admission::FleetAdmission;
 
 use crate::clock::Clock;
@@ -28,6 +30,7 @@
 use crate::net::{DirectCalls, SystemCalls};
 use crate::process_state::ProcessState;
 use crate::queue::{CoreHandle, Message};
+use discovery_contact::ContactRecord;
 use log_lines::LogLine;
 use std::collections::VecDeque;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
@@ -62,6 +65,7 @@
     load_orders: LoadOrders,
     workers: WorkerTable,
     membership: Membership,
+    contact: ContactRecord,
     timers: Timers,
     /// Events that the policy has not handled yet.
     events: VecDeque<Event>,
@@ -102,6 +106,7 @@
             load_orders: LoadOrders::default(),
             workers: WorkerTable::default(),
             membership: Membership::default(),
+            contact: ContactRecord::default(),
             timers: Timers::default(),
             events: VecDeque::new(),
             fleet_admission: None,
--- a/wrenseam/src/core/requests.rs
+++ b/wrenseam/src/core/requests.rs
@@ -127,11 +127,28 @@
             return;
         };
         let end = answer.request_end();
+        if end != RequestEnd::Completed {
+            self.log_request_end(id, end);
+        }
         self.tenant_counters.record_end(closed.tenant, end);
         self.request_counters.record_end(closed.class, end);
         closed.client.answer(closed.tag, answer);
     }
 
+    fn log_request_end(&self, id: u64, end: RequestEnd) {
+        let Some(request) = self.requests.request(id) else {
+            return;
+        };
+        let received_at = self.clock.at(request.received_at);
+        let line = LogLine::RequestNotServed {
+            wire_id: request.wire_id,
+            end,
+            attempts: self.requests.attempts_made(id),
+            elapsed: self.clock.now().saturating_sub(received_at),
+        };
+        note!("{line}");
+    }
+
     /// Sends the final answer and removes the request's record if no attempt is open.
     pub(super) fn finish_request(&mut self, id: u64, answer: Answer) {
         self.answer(id, answer);
--- a/wrenseam/src/core/tables/attempts.rs
+++ b/wrenseam/src/core/tables/attempts.rs
@@ -62,6 +62,11 @@
         Some(attempt)
     }
 
+    /// How many attempts were started.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// Whether no attempt was started yet.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
--- a/wrenseam/src/core/tables/requests.rs
+++ b/wrenseam/src/core/tables/requests.rs
@@ -147,6 +147,13 @@
             .is_some_and(|entry| !entry.attempts.is_empty())
     }
 
+    /// How many attempts were started for the request.
+    pub fn attempts_made(&self, id: u64) -> usize {
+        self.entries
+            .get(&id)
+            .map_or(0, |entry| entry.attempts.len())
+    }
+
     /// Records a new open attempt; `None` if the request is not in the table.
     pub fn start_attempt(&mut self, id: u64, worker: String, now: Micros) -> Option<AttemptKey> {
         let entry = self.entries.get_mut(&id)?;
--- a/wrenseam/src/discovery/address.rs
+++ b/wrenseam/src/discovery/address.rs
@@ -12,10 +12,12 @@
     }
 
     /// Changes the address; the client notices within `DiscoveryLimits::address_check_interval`.
-    pub fn set(&self, new: SocketAddr) {
-        if let Ok(mut address) = self.0.lock() {
-            *address = Some(new);
-        }
+    /// Returns whether it is another one.
+    pub fn set(&self, new: SocketAddr) -> bool {
+        let Ok(mut address) = self.0.lock() else {
+            return false;
+        };
+        address.replace(new) != Some(new)
     }
 
     /// The address now, if there is one.
--- a/wrenseam/src/discovery/client.rs
+++ b/wrenseam/src/discovery/client.rs
@@ -5,7 +5,7 @@
 use crate::discovery::log_lines;
 use crate::discovery::watch::{WatchError, WatchState};
 use crate::limits::DiscoveryLimits;
-use crate::model::TransportProtocol;
+use crate::model::{DiscoveryContact, TransportProtocol};
 use crate::net::timed_out;
 use crate::queue::CoreHandle;
 use crate::ring::Ring;
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use thiserror::Error;
+use wrenseam_policy::readiness_lease::Interruption;
 
 /// Why a request to the discovery service ended. It ends with an error always, as the service sends events for ever.
 #[derive(Debug, Error)]
@@ -59,6 +60,7 @@
         backoff: ReconnectBackoff::new(seed, limits),
         limits,
         core,
+        is_out_of_contact: false,
     };
     loop {
         let pause = client.request();
@@ -74,6 +76,8 @@
     backoff: ReconnectBackoff,
     limits: &'a DiscoveryLimits,
     core: &'a CoreHandle,
+    /// Whether an interruption was reported and no contact since.
+    is_out_of_contact: bool,
 }
 
 /// A connection and what has been read on it.
@@ -83,8 +87,12 @@
     buffer: Ring,
     bytes: Vec<u8>,
     response: EventStreamResponse,
+    requested_at: Instant,
     last_read_at: Instant,
     last_event_at: Instant,
+    has_read: bool,
+    has_comment: bool,
+    is_confirmed: bool,
 }
 
 impl Client<'_> {
@@ -119,12 +127,66 @@
         let event_timeout = self.backoff.event_timeout();
         let mut connection = match self.connect(address) {
             Ok(connection) => connection,
-            Err(error) => return error,
+            Err(error) => {
+                self.report_silent_end(Instant::now(), Interruption::Unreachable);
+                return error;
+            }
         };
         loop {
             if let Err(error) = self.receive(&mut connection, event_timeout) {
+                self.report_end(&connection, &error);
                 return error;
             }
+            self.confirm_if_settled(&mut connection);
+        }
+    }
+
+    /// Reports the end of a connection. Those that this side ends are followed by another request, whose answer or
+    /// failure is reported.
+    fn report_end(&mut self, connection: &Connection, error: &ConnectionError) {
+        let now = Instant::now();
+        match error {
+            ConnectionError::Silent if connection.has_read => {
+                self.report_interruption(connection.last_read_at, Interruption::Silent);
+            }
+            ConnectionError::Silent => {
+                self.report_silent_end(connection.requested_at, Interruption::Silent);
+            }
+            ConnectionError::Io(_) | ConnectionError::Closed | ConnectionError::Stream(_) => {
+                if connection.has_read {
+                    self.report_interruption(now, Interruption::Broken);
+                } else {
+                    self.report_silent_end(now, Interruption::Unreachable);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Reports the end of a request to which nothing came: that is news only after contact.
+    fn report_silent_end(&mut self, at: Instant, cause: Interruption) {
+        if !self.is_out_of_contact {
+            self.report_interruption(at, cause);
+        }
+    }
+
+    fn report_interruption(&mut self, at: Instant, cause: Interruption) {
+        self.is_out_of_contact = true;
+        self.core
+            .discovery_contact(DiscoveryContact::Interrupted { at, cause });
+    }
+
+    /// Reports, once for each request, that all that had happened when it was made has been received: the service
+    /// comments and has sent no event for a while, and no event lacks a part.
+    fn confirm_if_settled(&mut self, connection: &mut Connection) {
+        let is_settled = connection.has_comment
+            && connection.last_event_at.elapsed() >= self.limits.settle_time
+            && self.state.is_complete();
+        if is_settled && !std::mem::replace(&mut connection.is_confirmed, true) {
+            let requested_at = connection.requested_at;
+            self.is_out_of_contact = false;
+            self.core
+                .discovery_contact(DiscoveryContact::Confirmed { requested_at });
         }
     }
 
@@ -132,6 +194,7 @@
         let mut stream = TcpStream::connect_timeout(&address, self.limits.connect_timeout)?;
         stream.set_read_timeout(Some(self.limits.address_check_interval))?;
         let last_event = self.state.begin_request();
+        let requested_at = Instant::now();
         let request = format!(
             "GET /board/poll HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {last_event}\r\n\r\n"
         );
@@ -143,8 +206,12 @@
             buffer: Ring::new(self.limits.read_buffer),
             bytes: Vec::new(),
             response: EventStreamResponse::new(self.limits),
+            requested_at,
             last_read_at: now,
             last_event_at: now,
+            has_read: false,
+            has_comment: false,
+            is_confirmed: false,
         })
     }
 
@@ -171,7 +238,10 @@
         for &byte in &connection.bytes {
             let update = match connection.response.push(byte)? {
                 StreamItem::Incomplete => continue,
-                StreamItem::Comment => self.state.comment()?,
+                StreamItem::Comment => {
+                    connection.has_comment = true;
+                    self.state.comment()?
+                }
                 StreamItem::Event(event) => {
                     connection.last_event_at = Instant::now();
                     self.state.event(event.id.as_deref(), &event.data)?
@@ -194,7 +264,10 @@
     fn read(&mut self, silence_timeout: Duration) -> Result<(), ConnectionError> {
         match self.buffer.fill(&mut self.stream) {
             Ok(0) => return Err(ConnectionError::Closed),
-            Ok(_) => self.last_read_at = Instant::now(),
+            Ok(_) => {
+                self.last_read_at = Instant::now();
+                self.has_read = true;
+            }
             Err(error) if timed_out(&error) => {
                 if self.last_read_at.elapsed() >= silence_timeout {
                     return Err(ConnectionError::Silent);
--- a/wrenseam/src/discovery/watch.rs
+++ b/wrenseam/src/discovery/watch.rs
@@ -175,6 +175,11 @@
         self.last_event
     }
 
+    /// Whether nothing of the events received is missing.
+    pub fn is_complete(&self) -> bool {
+        self.incomplete.is_empty() && !self.needs_complete_list
+    }
+
     /// Begins a request. Returns the event after which the service is to go on: the last one, or the one before an
     /// incomplete one.
     pub fn begin_request(&mut self) -> u64 {
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -286,6 +286,9 @@
 const DISCOVERY_EVENT_TIMEOUT_MIN: Duration = Duration::from_millis(3_000);
 const DISCOVERY_EVENT_TIMEOUT_MAX: Duration = Duration::from_millis(4_500);
 
+/// The service sends the events that it has without a pause as long.
+const DISCOVERY_SETTLE: Duration = Duration::from_millis(250);
+
 /// How often a waiting read looks whether the address has changed.
 const DISCOVERY_ADDRESS_CHECK: Duration = Duration::from_millis(50);
 
@@ -313,6 +316,8 @@
     pub event_timeout_min: Duration,
     /// The longest such time.
     pub event_timeout_max: Duration,
+    /// Once a service has commented and sent no event for so long, it has sent all that it has.
+    pub settle_time: Duration,
     /// How often a waiting read looks whether the service's address has changed.
     pub address_check_interval: Duration,
     /// Pause after the first failed request.
@@ -338,6 +343,7 @@
             silence_timeout: DISCOVERY_SILENCE,
             event_timeout_min: DISCOVERY_EVENT_TIMEOUT_MIN,
             event_timeout_max: DISCOVERY_EVENT_TIMEOUT_MAX,
+            settle_time: DISCOVERY_SETTLE,
             address_check_interval: DISCOVERY_ADDRESS_CHECK,
             retry_initial: DISCOVERY_RETRY,
             retry_max: if large_fleet {
--- a/wrenseam/src/model/mod.rs
+++ b/wrenseam/src/model/mod.rs
@@ -2,10 +2,12 @@
 //! parts.
 pub mod admin;
 pub mod attempt;
+pub mod discovery_contact;
 pub mod endpoint;
 pub mod request;
 
 pub use admin::{AdminCommand, AdminReply};
 pub use attempt::{AttemptKey, AttemptReport};
+pub use discovery_contact::DiscoveryContact;
 pub use endpoint::{Endpoint, TransportProtocol};
 pub use request::{Answer, Client, ClientProbe, ClientState, Payload, Request, RequestEnd};
--- a/wrenseam/src/queue.rs
+++ b/wrenseam/src/queue.rs
@@ -1,8 +1,8 @@
 //! The core's queue: the messages that the other parts of the process send, and the handle through which they do.
 use crate::fleet::FleetStatus;
 use crate::model::{
-    AdminCommand, AdminReply, AttemptKey, AttemptReport, Client, Endpoint, Request, RequestEnd,
-    TransportProtocol,
+    AdminCommand, AdminReply, AttemptKey, AttemptReport, Client, DiscoveryContact, Endpoint,
+    Request, RequestEnd, TransportProtocol,
 };
 use std::collections::BTreeSet;
 use std::sync::mpsc::Sender;
@@ -64,6 +64,8 @@
         /// The endpoints.
         endpoints: Vec<Endpoint>,
     },
+    /// The contact with the discovery service changed.
+    DiscoveryContact(DiscoveryContact),
     /// The JSON of `/v1/state` is wanted: tenants, endpoints and counts.
     Inspect {
         /// Where it goes.
@@ -161,6 +163,11 @@
         });
     }
 
+    /// The contact with the discovery service changed.
+    pub fn discovery_contact(&self, contact: DiscoveryContact) {
+        self.post(Message::DiscoveryContact(contact));
+    }
+
     fn post(&self, message: Message) {
         let _ = self.0.send(message); // fails only once the core has ended, with the process
     }
--- a/wrenseam/src/shutdown.rs
+++ b/wrenseam/src/shutdown.rs
@@ -4,13 +4,14 @@
 use crate::config::Config;
 use crate::discovery::address::DiscoveryAddress;
 use crate::front::{admin, close, Listener, ListenerContext};
-use crate::model::AdminCommand;
+use crate::model::{AdminCommand, DiscoveryContact};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
+use wrenseam_policy::readiness_lease::Interruption;
 
 /// How often a shutdown looks whether all connections have closed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
@@ -76,7 +77,14 @@
     let digest = Config::digest_with(settings_digest, Some(address));
     let config_digest = &context.process_state.config_digest;
     config_digest.store(digest, Ordering::Release);
-    discovery.set(address);
+    if discovery.set(address) {
+        context
+            .core
+            .discovery_contact(DiscoveryContact::Interrupted {
+                at: Instant::now(),
+                cause: Interruption::Moved,
+            });
+    }
 }
 
 /// Readiness says no at once: a process that replaces this one takes the new clients.
--- a/wrenseam/tests/core_log_lines.rs
+++ b/wrenseam/tests/core_log_lines.rs
@@ -1,8 +1,9 @@
 //! The texts of the core's log lines, which docs/oncall.md lists.
 use rstest::rstest;
 use wrenseam::core::log_lines::{InvalidRequest, LogLine};
-use wrenseam::model::{Endpoint, TransportProtocol};
-use wrenseam_policy::WorkerState;
+use wrenseam::model::{Endpoint, RequestEnd, TransportProtocol};
+use wrenseam_policy::readiness_lease::Interruption;
+use wrenseam_policy::{Outcome, WorkerState};
 
 #[rstest]
 #[case::timers_late(
@@ -13,6 +14,46 @@
     LogLine::Policy("2 of 9 workers look bad; load cap 4"),
     "policy: 2 of 9 workers look bad; load cap 4"
 )]
+#[case::attempt_rejected(
+    LogLine::AttemptNotServed {
+        wire_id: 0xbeef,
+        attempt: 1,
+        worker: "w1",
+        outcome: Outcome::Rejected,
+        elapsed: 12_345,
+    },
+    "request 000000000000beef: attempt 1 at w1 ended after 12 ms: Rejected"
+)]
+#[case::request_rejected(
+    LogLine::RequestNotServed {
+        wire_id: 0xbeef,
+        end: RequestEnd::Rejected,
+        attempts: 2,
+        elapsed: 345_678,
+    },
+    "request 000000000000beef: Rejected after 345 ms, attempts 2"
+)]
+#[case::load_order_rejected(
+    LogLine::LoadOrderFailed {
+        function: 0xf00d,
+        worker: "w1",
+        outcome: Outcome::Rejected,
+        elapsed: 2_000,
+    },
+    "load order: 000000000000f00d at w1 ended after 2 ms: Rejected"
+)]
+#[case::contact_lost(
+    LogLine::DiscoveryLost { cause: Interruption::Silent, age: Some(2_500_000) },
+    "discovery: contact lost (Silent), the list was confirmed 2500 ms ago"
+)]
+#[case::contact_never_made(
+    LogLine::DiscoveryLost { cause: Interruption::Unreachable, age: None },
+    "discovery: contact lost (Unreachable), the list was never confirmed"
+)]
+#[case::contact_regained(
+    LogLine::DiscoveryRegained { outage: 14_200_000 },
+    "discovery: contact regained after 14200 ms, the list is confirmed"
+)]
 #[case::excluded(LogLine::Excluded("w1"), "admin: exclude w1, it gets no new requests")]
 #[case::included(LogLine::Included("w1"), "admin: include w1, back as a new process")]
 #[case::draining(
--- a/wrenseam/tests/golden_admin.rs
+++ b/wrenseam/tests/golden_admin.rs
@@ -60,7 +60,7 @@
     };
     let names = ["tile-render", "tile-order"].map(str::to_owned);
     pinned(
-        &counters().telemetry(&names, gauges, None),
+        &counters().telemetry(&names, gauges, None, None),
         "app.downstream_requests.tile-render.completed:0|c\n\
          app.downstream_requests.tile-render.rejected:0|c\n\
          app.downstream_requests.tile-render.failed:0|c\n\
--- a/wrenseam/tests/telemetry.rs
+++ b/wrenseam/tests/telemetry.rs
@@ -1,5 +1,5 @@
 //! The core's counters: requests by class for `telemetry`, and by tenant for `/v1/state`.
-use wrenseam::core::{Gauges, RequestCounters, TenantCounters, TenantCounts};
+use wrenseam::core::{DiscoveryFigures, Gauges, RequestCounters, TenantCounters, TenantCounts};
 use wrenseam::model::RequestEnd;
 
 #[test]
@@ -19,7 +19,7 @@
         members: 6,
         unavailable: 1,
     };
-    let text = counters.telemetry(&names, gauges, None);
+    let text = counters.telemetry(&names, gauges, None, None);
     let lines: Vec<&str> = text.lines().collect();
     assert_eq!(
         lines,
@@ -61,3 +61,15 @@
     };
     assert_eq!(counts, [known, unknown]);
 }
+
+#[test]
+fn figures_of_discovery_stand_before_the_end() {
+    let counters = RequestCounters::new(0);
+    let figures = DiscoveryFigures {
+        confirmed_ms_ago: Some(1234),
+        interruptions: 2,
+    };
+    let text = counters.telemetry(&[], Gauges::default(), Some(figures), None);
+    let end = "app.discovery.confirmed_ms_ago:1234|g\napp.discovery.interruptions:2|c\nEND\n";
+    assert!(text.ends_with(end), "{text}");
+}
