--- /dev/null
+++ b/wrenseam/tests/discovery_outage.rs
@@ -0,0 +1,141 @@
+//! Front end processes while discovery is out of reach.
+mod platform;
+
+use platform::{
+    late_arrivals, wait_until, ClientSettings, Clients, Deployment, DiscoveryService, EventLog,
+    FrontEnd, FrontEndSettings, Outage, StandInWorker, Told,
+};
+use rstest::rstest;
+use std::time::{Duration, Instant};
+
+const WORKERS: usize = 8;
+const CLIENTS_PER_FRONT_END: usize = 6;
+/// Front end processes that run.
+const RUNNING: usize = 3;
+/// A call's work at a worker.
+const WORK: Duration = Duration::from_millis(15);
+/// From the begin of an outage until workers drain.
+const OUTAGE_BEFORE_DRAIN: Duration = Duration::from_millis(400);
+/// How long workers drain before they stop.
+const DRAIN: Duration = Duration::from_secs(14);
+/// The end of a drain, in which service is measured.
+const LAST_PART: Duration = Duration::from_secs(2);
+
+/// Front ends between stand-ins, all running and called.
+struct Platform {
+    start: Instant,
+    deployment: Deployment,
+    log: EventLog,
+    discovery: DiscoveryService,
+    workers: Vec<StandInWorker>,
+    front_ends: Vec<FrontEnd>,
+    clients: Clients,
+}
+
+impl Platform {
+    fn start(deployment: Deployment) -> Platform {
+        let workers: Vec<StandInWorker> = (0..WORKERS)
+            .map(|number| StandInWorker::start(number, WORK))
+            .collect();
+        let log = EventLog::default();
+        let ready: Vec<String> = workers
+            .iter()
+            .map(|worker| worker.instance("ready"))
+            .collect();
+        log.publish(&ready);
+        let discovery = DiscoveryService::start(&log);
+        let mut clients = Clients::new(1);
+        let mut front_ends = Vec::new();
+        for index in 0..RUNNING {
+            let settings = FrontEndSettings {
+                deployment: deployment.clone(),
+                index,
+                seed: 0x2a,
+            };
+            let front_end = FrontEnd::start(settings, &log, discovery.address);
+            let client = ClientSettings {
+                front_end: index,
+                address: front_end.address,
+                wait: Duration::from_millis(deployment.give_up_ms),
+                pause: Duration::from_millis(40),
+            };
+            clients.add(CLIENTS_PER_FRONT_END, client);
+            front_ends.push(front_end);
+        }
+        let platform = Platform {
+            start: Instant::now(),
+            deployment,
+            log,
+            discovery,
+            workers,
+            front_ends,
+            clients,
+        };
+        platform.wait_until_warm();
+        platform
+    }
+
+    /// Waits until the front ends serve and have confirmed their lists.
+    fn wait_until_warm(&self) {
+        wait_until("clients are served", Duration::from_secs(10), || {
+            self.clients.served_between(self.start, Instant::now()) > 300
+        });
+        wait_until("lists are confirmed", Duration::from_secs(10), || {
+            let is_confirmed =
+                |front_end: &FrontEnd| front_end.figure("app.discovery.confirmed_ms_ago").is_some();
+            self.front_ends.iter().all(is_confirmed)
+        });
+    }
+
+    /// The workers to which most has come.
+    fn busiest(&self, count: usize) -> Vec<StandInWorker> {
+        let mut workers = self.workers.clone();
+        workers.sort_by_key(|worker| std::cmp::Reverse(worker.arrivals().len()));
+        workers.truncate(count);
+        workers
+    }
+
+    fn drain(&self, workers: &[StandInWorker]) {
+        for worker in workers {
+            worker.drain();
+        }
+        let instances: Vec<String> = workers
+            .iter()
+            .map(|worker| worker.instance("draining"))
+            .collect();
+        self.log.publish(&instances);
+    }
+}
+
+#[rstest]
+#[case::refused(Outage::Refused)]
+#[case::silent(Outage::Silent)]
+#[case::stalled(Outage::Stalled)]
+#[case::cut_short(Outage::CutShort)]
+fn drains_that_discovery_cannot_report_get_no_work_once_they_count_as_told(
+    #[case] outage: Outage,
+    #[values(3, 48)] front_ends: usize,
+) {
+    let mut platform = Platform::start(Deployment {
+        front_ends,
+        ..Deployment::default()
+    });
+    let since = Instant::now();
+    std::thread::sleep(LAST_PART);
+    let usual = platform.clients.served_between(since, Instant::now());
+    platform.discovery.interrupt(outage);
+    std::thread::sleep(OUTAGE_BEFORE_DRAIN);
+    platform.drain(&platform.busiest(3));
+    std::thread::sleep(DRAIN - LAST_PART);
+    let since = Instant::now();
+    std::thread::sleep(LAST_PART);
+    let served = platform.clients.served_between(since, Instant::now());
+    platform.clients.stop();
+    let told = Told::unheard(platform.deployment.drain_grace_ms);
+    let late = late_arrivals(&platform.workers, told, platform.start);
+    assert!(late.is_empty(), "{} late: {late:#?}", late.len());
+    assert!(
+        served * 2 >= usual,
+        "served {served}, {usual} before the outage"
+    );
+}
--- a/wrenseam/tests/support/frames.rs
+++ b/wrenseam/tests/support/frames.rs
@@ -7,6 +7,10 @@
 pub(crate) mod code {
     /// A call to run a function.
     pub(crate) const CALL: u8 = 2;
+    /// A question whether the worker takes new work.
+    pub(crate) const HEALTH_CHECK: u8 = 4;
+    /// The same, answered with the load report.
+    pub(crate) const LOAD_CHECK: u8 = 5;
     /// An order to load or unload replicas of a function, or a question how many are loaded.
     pub(crate) const LOAD_ORDER: u8 = 6;
     /// An answer: it ran.
@@ -19,6 +23,10 @@
     pub(crate) const ERROR: u8 = 204;
     /// An answer: it was not begun.
     pub(crate) const NOT_BEGUN: u8 = 205;
+    /// An answer to a health check: the worker takes new work.
+    pub(crate) const ACCEPTING: u8 = 206;
+    /// An answer to a health check: the worker takes no new work.
+    pub(crate) const NOT_ACCEPTING: u8 = 207;
 }
 
 const FROM_PROGRAM: u8 = 126;
