Readiness leases: what discovery told of a worker is acted on for a while only

Cause: is_usable and renew_replicas asked for the listed state alone, and nothing counted how long ago the list was heard. Lines: policy/src/eligibility.rs (is_ready), keep_alive.rs (renew_replicas), discovery/client.rs (events only, no word of silence). The evidence: event numbers stand still from the break on, and all breaks begin 7.61 to 7.64 s after the drain, in every kind of outage.

Discovery renews all of them when a request has settled; out of contact a worker renews its own by taking work, or by answering a health check (frame of code 4), which is sent in time to the workers in use and some more. A worker whose lease ends, that turns a check away or that refuses a connection is published as draining, like an excluded one: so one state closes routing, orders, renewals, hedges and what waits unwritten in a queue. One that may be a new process comes back in slow start.

Why it works: a lease never outlasts the first moment at which an unheard drain could bind. Ruled out: stopping all service when discovery is silent (workers that answer stay in use), polls (a draining worker answers them), reading every 'full' as a drain (mostly it is not), a check of each worker by each front end (bounded: 16 to 256 workers, 20 checks in 0.1 s).

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -72,6 +72,7 @@
 //! - Decisions, each a file: `eligibility`, `dispatch`, `outlier_detection`, `load_orders`, `replication`, `polling`,
 //!   `routing`, `hedging`, `keep_alive`, `admission`, `endpoint_list`, `survey`, `request_lifecycle`.
 //! - `controller`: one event in, actions out.
+//! - [`readiness_lease`]: beside the controller, until when the list's word on a worker may be acted on.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
--- a/policy/src/settings.rs
+++ b/policy/src/settings.rs
@@ -108,6 +108,10 @@
     pub overload_multiple: f64,
     /// ... for this long.
     pub overload_window: Micros,
+    /// How long a front end may go on sending new work to a worker after it was notified of its drain.
+    pub drain_grace: Micros,
+    /// Whether workers may be sent health checks.
+    pub health_checks: bool,
     /// Whether the endpoint list must be subscribed to.
     pub watch_endpoints: bool,
 }
--- a/policy/src/settings_json.rs
+++ b/policy/src/settings_json.rs
@@ -56,6 +56,8 @@
             slow_start_duration: span(rules, "warm-within"),
             overload_multiple: number(rules, "fall-multiple").unwrap_or(0.0),
             overload_window: span(rules, "fall"),
+            drain_grace: span(rules, "drain-grace"),
+            health_checks: flag(limits, "probes"),
             watch_endpoints: text(conf, "registry-mode") == Some("ask"),
         }
     }
@@ -273,7 +275,7 @@
     ("failure-domains", Expected::List),
     ("flavors", Expected::List),
 ];
-const LIMITS: [KnownKey; 8] = [
+const LIMITS: [KnownKey; 9] = [
     ("max-attempts", Expected::Number),
     ("max-retry-after", Expected::Number),
     ("connect-timeout", Expected::Number),
@@ -282,12 +284,14 @@
     ("may-cancel", Expected::Boolean),
     ("second-copies", Expected::Boolean),
     ("retry-after", Expected::Boolean),
+    ("probes", Expected::Boolean),
 ];
-const RULES: [KnownKey; 4] = [
+const RULES: [KnownKey; 5] = [
     ("cold-from", Expected::Number),
     ("warm-within", Expected::Number),
     ("fall-multiple", Expected::Number),
     ("fall", Expected::Number),
+    ("drain-grace", Expected::Number),
 ];
 const FAMILY: [KnownKey; 8] = [
     ("machine-mb", Expected::List),
--- a/scalelab/src/simulated_front_end/scenario.rs
+++ b/scalelab/src/simulated_front_end/scenario.rs
@@ -107,6 +107,8 @@
             slow_start_duration: 12 * SEC,
             overload_multiple: 2.0,
             overload_window: SEC,
+            drain_grace: 0,
+            health_checks: false,
             watch_endpoints: false,
         }
     }
--- a/wrenseam/src/core/attempts.rs
+++ b/wrenseam/src/core/attempts.rs
@@ -44,6 +44,7 @@
                     write_deadline: write_by,
                 };
                 transport.send(key, &request, limits);
+                self.leases.used(&worker, now);
                 self.requests.mark_handed_over(key);
                 self.request_counters.record_attempt_sent();
                 let timeout_at = now.saturating_add(budget);
@@ -107,11 +108,13 @@
         };
         let elapsed = self.clock.now().saturating_sub(attempt.started_at());
         let worker = attempt.worker().to_owned();
+        let sent_at = attempt.started_at();
         let not_written = matches!(report.outcome, Outcome::ConnectFailed | Outcome::NotSent);
         if attempt.handed_over() && not_written {
             self.request_counters.record_attempt_not_sent();
         }
         self.log_attempt_end(key, &worker, report.outcome, elapsed);
+        self.note_work_ended(&worker, sent_at, report.outcome);
         if let (Outcome::Ok, Some(payload)) = (report.outcome, report.payload) {
             self.answer(key.request, Answer::Served(payload));
         }
--- a/wrenseam/src/core/discovery_contact.rs
+++ b/wrenseam/src/core/discovery_contact.rs
@@ -24,6 +24,10 @@
     pub confirmed_ms_ago: Option<u64>,
     /// How often the contact was interrupted.
     pub interruptions: u64,
+    /// Workers that are listed as ready and get nothing new, as discovery was not heard for too long.
+    pub suspended: usize,
+    /// Health checks sent to workers.
+    pub health_checks: u64,
 }
 
 impl DiscoveryFigures {
@@ -34,6 +38,8 @@
         }
         let interruptions = self.interruptions;
         let _ = writeln!(text, "app.discovery.interruptions:{interruptions}|c");
+        let _ = writeln!(text, "app.members_suspended:{}|g", self.suspended);
+        let _ = writeln!(text, "app.health_checks:{}|c", self.health_checks);
     }
 }
 
@@ -45,6 +51,8 @@
             DiscoveryContact::Confirmed { requested_at } => {
                 let requested_at = self.clock.at(requested_at);
                 self.contact.confirmed_at = Some(requested_at);
+                let actions = self.leases.list_confirmed(requested_at);
+                self.apply_lease_actions(actions);
                 if let Some(lost_at) = self.contact.lost_at.take() {
                     let outage = now.saturating_sub(lost_at);
                     note!("{}", LogLine::DiscoveryRegained { outage });
@@ -53,6 +61,7 @@
             DiscoveryContact::Interrupted { at, cause } => {
                 let at = self.clock.at(at);
                 self.contact.interruptions += 1;
+                self.leases.interrupted(at, cause);
                 self.contact.lost_at.get_or_insert(at);
                 let age = self
                     .contact
@@ -73,6 +82,8 @@
                 .confirmed_at
                 .map(|confirmed_at| now.saturating_sub(confirmed_at) / MICROS_PER_MILLI),
             interruptions: contact.interruptions,
+            suspended: self.leases.suspended(),
+            health_checks: self.health_checks.sent,
         })
     }
 }
--- a/wrenseam/src/core/endpoints.rs
+++ b/wrenseam/src/core/endpoints.rs
@@ -1,6 +1,7 @@
 //! Endpoint updates: what a change of the endpoint lists does to workers and policy, and whether a worker can get one
 //! more connection.
 use super::log_lines::LogLine;
+use super::readiness::ids;
 use super::Core;
 use crate::discovery::membership::Change;
 use crate::limits::RESERVED_DESCRIPTORS;
@@ -19,13 +20,24 @@
         complete: bool,
         endpoints: Vec<Endpoint>,
     ) {
+        let mut changed = ids(&endpoints);
         let changes = self.membership.apply(source, complete, endpoints);
+        changed.extend(ids(changes.iter().map(|change| &change.endpoint)));
+        self.sync_leases(source, &changed);
         self.apply_changes(changes);
         self.process_state.ready.store(true, Ordering::Release);
     }
 
-    /// Carries out changes of the membership: at the workers' transports, and in the policy's list.
+    /// Carries out changes of the endpoint list: at the workers' transports, and in the policy's list.
     pub(super) fn apply_changes(&mut self, changes: Vec<Change>) {
+        for change in &changes {
+            eprintln!("{}", LogLine::EndpointChanged(&change.endpoint));
+        }
+        self.apply_readiness_changes(changes);
+    }
+
+    /// The same for changes that were logged as what they are.
+    pub(super) fn apply_readiness_changes(&mut self, changes: Vec<Change>) {
         let mut endpoints = Vec::with_capacity(changes.len());
         for change in changes {
             endpoints.push(self.policy_endpoint(&change.endpoint));
@@ -41,7 +53,6 @@
 
     fn apply_change(&mut self, change: Change) {
         let endpoint = change.endpoint;
-        eprintln!("{}", LogLine::EndpointChanged(&endpoint));
         let address = endpoint.address;
         let protocol = endpoint.protocol;
         self.workers.update(endpoint, change.action, || {
--- a/wrenseam/src/core/load_orders.rs
+++ b/wrenseam/src/core/load_orders.rs
@@ -19,7 +19,12 @@
         };
         // An order that cannot be sent ends through the queue, like one that the worker answers.
         match transport {
-            Some(transport) if has_connection => transport.order(number, function, replicas),
+            Some(transport) if has_connection => {
+                transport.order(number, function, replicas);
+                if replicas > 0 {
+                    self.leases.used(&worker, now);
+                }
+            }
             Some(_) => self.reports.load_order_ended(number, Outcome::Rejected, 0),
             None => self
                 .reports
@@ -28,6 +33,7 @@
         let order = LoadOrder {
             worker,
             function,
+            replicas,
             ordered_at: now,
         };
         self.load_orders.insert(number, order);
@@ -60,6 +66,10 @@
             };
             note!("{line}");
         }
+        // A draining worker answers polls as any other does.
+        if order.replicas > 0 || outcome != Outcome::Ok {
+            self.note_work_ended(&order.worker, order.ordered_at, outcome);
+        }
         self.events.push_back(Event::LoadOrderEnded {
             worker: order.worker,
             function: order.function,
--- a/wrenseam/src/core/log_lines.rs
+++ b/wrenseam/src/core/log_lines.rs
@@ -1,7 +1,7 @@
 //! The texts of the log lines that the core writes. docs/oncall.md lists them with what to do about each.
 use crate::model::{Endpoint, RequestEnd};
 use std::fmt::{Display, Formatter, Result};
-use wrenseam_policy::readiness_lease::Interruption;
+use wrenseam_policy::readiness_lease::{Interruption, SuspendReason};
 use wrenseam_policy::{FunctionId, Micros, Outcome};
 
 const MICROS_PER_MILLI: Micros = 1_000;
@@ -87,6 +87,20 @@
         /// Time since the contact was lost.
         outage: Micros,
     },
+    /// A worker listed as ready gets nothing new, as discovery was not heard for too long.
+    Suspended {
+        /// The worker's id.
+        worker_id: &'a str,
+        /// Why.
+        reason: SuspendReason,
+    },
+    /// A suspended worker gets new work again.
+    Resumed {
+        /// The worker's id.
+        worker_id: &'a str,
+        /// Whether it may be a new process.
+        may_have_restarted: bool,
+    },
     /// The policy logs this text.
     Policy(&'a str),
     /// The endpoint lists or an operator changed a worker.
@@ -165,6 +179,17 @@
                 "discovery: contact regained after {} ms, the list is confirmed",
                 outage / MICROS_PER_MILLI
             ),
+            LogLine::Suspended { worker_id, reason } => {
+                write!(f, "endpoint {worker_id}: suspended ({reason:?})")
+            }
+            LogLine::Resumed {
+                worker_id,
+                may_have_restarted: false,
+            } => write!(f, "endpoint {worker_id}: resumed"),
+            LogLine::Resumed {
+                worker_id,
+                may_have_restarted: true,
+            } => write!(f, "endpoint {worker_id}: resumed, may be a new process"),
             LogLine::Policy(text) => write!(f, "policy: {text}"),
             LogLine::EndpointChanged(endpoint) => {
                 let Endpoint {
--- a/wrenseam/src/core/messages.rs
+++ b/wrenseam/src/core/messages.rs
@@ -26,6 +26,8 @@
                 outcome,
                 replicas,
             } => self.end_load_order(order, outcome, replicas),
+            Message::HealthCheckEnded { check, result } => self.end_health_check(check, result),
+            Message::WorkerConnectionEnded { address } => self.note_connection_ended(address),
             Message::EndpointUpdate {
                 source,
                 complete,
--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -14,6 +14,7 @@
 mod load_orders;
 pub mod log_lines;
 mod messages;
+mod readiness;
 mod requests;
 mod state_report;
 pub mod tables;
@@ -32,11 +33,13 @@
 use crate::queue::{CoreHandle, Message};
 use discovery_contact::ContactRecord;
 use log_lines::LogLine;
+use readiness::{HealthChecks, LEASE_REVIEW_PERIOD};
 use std::collections::VecDeque;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Arc;
 use tables::{LoadOrders, RequestTable, WorkerTable};
 use timers::{TimerEvent, Timers};
+use wrenseam_policy::readiness_lease::ReadinessLeases;
 use wrenseam_policy::{Controller, Event, Micros, Settings, ZoneNames};
 
 /// How often connections are checked for their idle timeout.
@@ -66,6 +69,8 @@
     workers: WorkerTable,
     membership: Membership,
     contact: ContactRecord,
+    leases: ReadinessLeases,
+    health_checks: HealthChecks,
     timers: Timers,
     /// Events that the policy has not handled yet.
     events: VecDeque<Event>,
@@ -92,6 +97,7 @@
         Core {
             controller: Controller::new(settings.clone(), seed),
             zones: ZoneNames::new(&settings.zones),
+            leases: ReadinessLeases::new(&settings, seed),
             request_counters: RequestCounters::new(settings.classes.len()),
             tenant_counters: TenantCounters::new(settings.tenants.len()),
             settings,
@@ -107,6 +113,7 @@
             workers: WorkerTable::default(),
             membership: Membership::default(),
             contact: ContactRecord::default(),
+            health_checks: HealthChecks::default(),
             timers: Timers::default(),
             events: VecDeque::new(),
             fleet_admission: None,
@@ -121,6 +128,14 @@
         self
     }
 
+    /// Follows a discovery service: what it has stated of workers may be acted on for a while only. Whether this process
+    /// takes over from another.
+    #[must_use]
+    pub fn with_discovery(mut self, takes_over: bool) -> Self {
+        self.leases.follow(self.clock.now(), takes_over);
+        self
+    }
+
     /// Makes these system calls on connections to workers in place of the machine's.
     #[must_use]
     pub fn with_calls(mut self, system_calls: Arc<dyn SystemCalls>) -> Self {
@@ -149,6 +164,8 @@
             .set(now + IDLE_SWEEP_PERIOD, TimerEvent::IdleSweep);
         self.timers
             .set(now + self.limits.link_check, TimerEvent::LivenessCheck);
+        self.timers
+            .set(now + LEASE_REVIEW_PERIOD, TimerEvent::LeaseReview);
     }
 
     /// Handles a message and those that have queued up behind it, before any timer: an answer that is here already
--- /dev/null
+++ b/wrenseam/src/core/readiness.rs
@@ -0,0 +1,154 @@
+//! Readiness leases as the core applies them: health checks to workers, and what their ends and other answers change.
+use super::log_lines::LogLine;
+use super::timers::TimerEvent;
+use super::Core;
+use crate::model::{Endpoint, TransportProtocol};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use wrenseam_policy::readiness_lease::{HealthCheckResult, LeaseAction};
+use wrenseam_policy::{Micros, Outcome, WorkerId};
+
+/// How often leases are looked at.
+pub(super) const LEASE_REVIEW_PERIOD: Micros = 100_000;
+
+/// A health check that is not answered within this gets no answer. A worker may have it wait like a request.
+const HEALTH_CHECK_TIMEOUT: Micros = 3_000_000;
+
+/// A health check that has not ended.
+#[derive(Clone, Debug)]
+struct HealthCheck {
+    worker: WorkerId,
+    sent_at: Micros,
+}
+
+/// The health checks that have not ended, by the core's number, and how many were sent.
+#[derive(Debug, Default)]
+pub(super) struct HealthChecks {
+    open: BTreeMap<u64, HealthCheck>,
+    pub(super) sent: u64,
+}
+
+impl Core {
+    /// Suspends workers whose leases have ended and sends the health checks that are due.
+    pub(super) fn review_leases(&mut self) {
+        let now = self.clock.now();
+        self.abandon_overdue_checks(now);
+        let actions = self.leases.review(now);
+        self.apply_lease_actions(actions);
+        self.timers
+            .set(now + LEASE_REVIEW_PERIOD, TimerEvent::LeaseReview);
+    }
+
+    fn abandon_overdue_checks(&mut self, now: Micros) {
+        while let Some(check) = self.health_checks.open.first_entry() {
+            if now < check.get().sent_at + HEALTH_CHECK_TIMEOUT {
+                return;
+            }
+            let (number, check) = check.remove_entry();
+            self.workers.abandon_health_check(&check.worker, number);
+        }
+    }
+
+    /// Carries out what the leases ask for.
+    pub(super) fn apply_lease_actions(&mut self, actions: impl IntoIterator<Item = LeaseAction>) {
+        let mut changes = Vec::new();
+        for action in actions {
+            match action {
+                LeaseAction::Check(worker) => self.check_health(worker),
+                LeaseAction::Suspend { worker, reason } => {
+                    let worker_id = &worker;
+                    note!("{}", LogLine::Suspended { worker_id, reason });
+                    changes.extend(self.membership.suspend(&worker));
+                }
+                LeaseAction::Resume {
+                    worker,
+                    may_have_restarted,
+                } => {
+                    let worker_id = &worker;
+                    note!(
+                        "{}",
+                        LogLine::Resumed {
+                            worker_id,
+                            may_have_restarted
+                        }
+                    );
+                    let restarted_at = may_have_restarted.then(|| self.clock.now());
+                    changes.extend(self.membership.resume(&worker, restarted_at));
+                }
+            }
+        }
+        self.apply_readiness_changes(changes);
+    }
+
+    fn check_health(&mut self, worker: WorkerId) {
+        let number = self.next_number();
+        if !self.make_room(&worker) {
+            return;
+        }
+        let Some(transport) = self.workers.transport(&worker) else {
+            return;
+        };
+        transport.check_health(number);
+        self.health_checks.sent += 1;
+        let sent_at = self.clock.now();
+        let check = HealthCheck { worker, sent_at };
+        self.health_checks.open.insert(number, check);
+    }
+
+    /// A health check ended; a second end is ignored.
+    pub(super) fn end_health_check(&mut self, number: u64, result: HealthCheckResult) {
+        let Some(check) = self.health_checks.open.remove(&number) else {
+            return;
+        };
+        let now = self.clock.now();
+        let HealthCheck { worker, sent_at } = check;
+        let action = self.leases.check_ended(&worker, sent_at, result, now);
+        self.apply_lease_actions(action);
+    }
+
+    /// Takes what the end of new work, sent at `sent_at`, tells of its worker.
+    pub(super) fn note_work_ended(&mut self, worker: &str, sent_at: Micros, outcome: Outcome) {
+        let now = self.clock.now();
+        match outcome {
+            Outcome::Ok => {
+                let action = self.leases.accepted(worker, sent_at, now);
+                self.apply_lease_actions(action);
+            }
+            Outcome::Rejected | Outcome::ConnectFailed | Outcome::Reset => {
+                self.leases.doubted(worker, now);
+            }
+            _ => {}
+        }
+    }
+
+    /// A connection to the workers at this address ended.
+    pub(super) fn note_connection_ended(&mut self, address: SocketAddr) {
+        let now = self.clock.now();
+        if !self.leases.is_out_of_contact(now) {
+            return;
+        }
+        for endpoint in self.workers.endpoints() {
+            if endpoint.address == address {
+                self.leases.doubted(&endpoint.id, now);
+            }
+        }
+    }
+
+    /// Takes over which workers the discovery service lists as ready. Those of other sources are listed by files, which
+    /// do not change.
+    pub(super) fn sync_leases(&mut self, source: TransportProtocol, changed: &BTreeSet<WorkerId>) {
+        if source != TransportProtocol::Frames {
+            return;
+        }
+        for worker in changed {
+            let is_ready = self.membership.is_listed_ready(worker);
+            self.leases.listed(worker, is_ready);
+        }
+    }
+}
+
+/// The ids of these endpoints.
+pub(super) fn ids<'a>(endpoints: impl IntoIterator<Item = &'a Endpoint>) -> BTreeSet<WorkerId> {
+    let id = |endpoint: &Endpoint| endpoint.id.clone();
+    endpoints.into_iter().map(id).collect()
+}
--- a/wrenseam/src/core/tables/load_orders.rs
+++ b/wrenseam/src/core/tables/load_orders.rs
@@ -9,6 +9,8 @@
     pub worker: WorkerId,
     /// The function to load.
     pub function: FunctionId,
+    /// How many replicas it is to hold; 0: it was only asked.
+    pub replicas: u32,
     /// When the worker was ordered.
     pub ordered_at: Micros,
 }
--- a/wrenseam/src/core/tables/workers.rs
+++ b/wrenseam/src/core/tables/workers.rs
@@ -126,6 +126,15 @@
         }
     }
 
+    /// Stops waiting for the answer to a health check, at whichever transport it went to.
+    pub fn abandon_health_check(&mut self, worker: &str, check: u64) {
+        if let Some(worker) = self.0.get_mut(worker) {
+            for transport in worker.transports_mut() {
+                transport.abandon_health_check(check);
+            }
+        }
+    }
+
     /// Has a worker unload the idle replicas of a function.
     pub fn unload(&mut self, worker: &str, function: FunctionId) {
         if let Some(transport) = self.transport(worker) {
--- a/wrenseam/src/core/timer_events.rs
+++ b/wrenseam/src/core/timer_events.rs
@@ -15,6 +15,7 @@
             TimerEvent::LoadOrderTimeout(order) => self.time_out_load_order(order),
             TimerEvent::RequestDeadline(id) => self.finish_request(id, Answer::Failed),
             TimerEvent::LivenessCheck => self.check_liveness(),
+            TimerEvent::LeaseReview => self.review_leases(),
             TimerEvent::IdleSweep => self.sweep_idle(),
         }
     }
--- a/wrenseam/src/core/timers.rs
+++ b/wrenseam/src/core/timers.rs
@@ -21,6 +21,8 @@
     RequestDeadline(u64),
     /// Connections to workers are to be checked for a response.
     LivenessCheck,
+    /// Readiness leases are to be reviewed.
+    LeaseReview,
     /// Idle connections are to be closed and workers that are gone removed.
     IdleSweep,
 }
--- a/wrenseam/src/discovery/membership.rs
+++ b/wrenseam/src/discovery/membership.rs
@@ -36,9 +36,11 @@
 pub struct Membership {
     /// Each endpoint as its source lists it, by id.
     listed: BTreeMap<String, Endpoint>,
-    /// Each endpoint as the last change gave it: as listed, or draining while it is excluded.
+    /// Each endpoint as the last change gave it: as listed, or draining while it is excluded or suspended.
     published: BTreeMap<String, Endpoint>,
     excluded: BTreeSet<String>,
+    /// Endpoints listed as ready that get nothing new, as discovery was not heard for too long.
+    suspended: BTreeSet<String>,
 }
 
 impl Membership {
@@ -110,13 +112,18 @@
         if listed == Some(&endpoint) {
             return None;
         }
+        if endpoint.state != WorkerState::Ready {
+            self.suspended.remove(&endpoint.id);
+        }
         self.listed.insert(endpoint.id.clone(), endpoint.clone());
         self.publish(endpoint)
     }
 
-    /// The change that an endpoint's listing comes to: it is published as draining while it is excluded.
+    /// The change that an endpoint's listing comes to: it is published as draining while it is excluded or suspended.
     fn publish(&mut self, mut endpoint: Endpoint) -> Option<Change> {
-        if self.excluded.contains(&endpoint.id) && endpoint.state == WorkerState::Ready {
+        let is_withheld =
+            self.excluded.contains(&endpoint.id) || self.suspended.contains(&endpoint.id);
+        if is_withheld && endpoint.state == WorkerState::Ready {
             endpoint.state = WorkerState::Draining;
         }
         let published = self.published.get(&endpoint.id);
@@ -159,6 +166,34 @@
         Ok(self.publish(endpoint).into_iter().collect())
     }
 
+    /// Whether the lists name this endpoint as ready.
+    pub fn is_listed_ready(&self, id: &str) -> bool {
+        self.listed
+            .get(id)
+            .is_some_and(|endpoint| endpoint.state == WorkerState::Ready)
+    }
+
+    /// Suspends an endpoint that is listed as ready.
+    pub fn suspend(&mut self, id: &str) -> Option<Change> {
+        let endpoint = self.listed.get(id)?.clone();
+        if endpoint.state != WorkerState::Ready {
+            return None;
+        }
+        self.suspended.insert(id.to_owned());
+        self.publish(endpoint)
+    }
+
+    /// Ends the suspension of an endpoint, as a new process if it may have started at `restarted_at`.
+    pub fn resume(&mut self, id: &str, restarted_at: Option<Micros>) -> Option<Change> {
+        if !self.suspended.remove(id) {
+            return None;
+        }
+        let endpoint = self.listed.get_mut(id)?;
+        endpoint.started_at = restarted_at.unwrap_or(endpoint.started_at);
+        let endpoint = endpoint.clone();
+        self.publish(endpoint)
+    }
+
     /// The excluded ids.
     pub fn excluded(&self) -> &BTreeSet<String> {
         &self.excluded
--- a/wrenseam/src/queue.rs
+++ b/wrenseam/src/queue.rs
@@ -5,8 +5,10 @@
     Request, RequestEnd, TransportProtocol,
 };
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
 use std::sync::Arc;
+use wrenseam_policy::readiness_lease::HealthCheckResult;
 use wrenseam_policy::Outcome;
 
 /// A message to the core.
@@ -55,6 +57,18 @@
         /// Replicas that the worker holds.
         replicas: u32,
     },
+    /// A health check ended.
+    HealthCheckEnded {
+        /// The check's number.
+        check: u64,
+        /// How it ended.
+        result: HealthCheckResult,
+    },
+    /// A connection to a worker ended.
+    WorkerConnectionEnded {
+        /// The worker's address.
+        address: SocketAddr,
+    },
     /// A change of the endpoint list of one source.
     EndpointUpdate {
         /// Which source.
@@ -149,6 +163,16 @@
         });
     }
 
+    /// A health check ended.
+    pub fn health_check_ended(&self, check: u64, result: HealthCheckResult) {
+        self.post(Message::HealthCheckEnded { check, result });
+    }
+
+    /// A connection to a worker ended.
+    pub fn worker_connection_ended(&self, address: SocketAddr) {
+        self.post(Message::WorkerConnectionEnded { address });
+    }
+
     /// A source's endpoint list changed.
     pub fn endpoint_update(
         &self,
--- a/wrenseam/src/server.rs
+++ b/wrenseam/src/server.rs
@@ -108,6 +108,10 @@
             self.core.clone(),
             self.process_state.clone(),
         );
+        if self.config.discovery_service.is_some() {
+            let takes_over = self.config.admin.is_some();
+            core = core.with_discovery(takes_over);
+        }
         if let Some(fleet) = &self.config.fleet {
             core = core.with_fleet_admission(FleetAdmission::new(fleet, settings, seed));
             self.start_gossip()?;
--- a/wrenseam/src/worker/frames/codec.rs
+++ b/wrenseam/src/worker/frames/codec.rs
@@ -5,6 +5,7 @@
 use super::super::{AttemptLimits, MICROS_PER_MILLI};
 use crate::model::Request;
 use crate::ring::Ring;
+use wrenseam_policy::readiness_lease::HealthCheckResult;
 use wrenseam_policy::{FunctionId, Outcome};
 
 /// First byte of the frames that a front end sends.
@@ -16,6 +17,8 @@
 const CODE_CALL: u8 = 2;
 /// Code of the cancellation of a call.
 const CODE_CANCEL: u8 = 3;
+/// Code of a question whether the worker takes new work.
+const CODE_HEALTH_CHECK: u8 = 4;
 /// Code of an order to hold replicas.
 const CODE_HOLD: u8 = 6;
 /// Code of an order to unload idle replicas.
@@ -40,7 +43,7 @@
     /// Fields or body were changed on their way.
     #[error("checksum mismatch")]
     Checksum,
-    /// The code stands for no outcome.
+    /// The code stands for no answer, or for none to what was asked.
     #[error("unknown code {0}")]
     UnknownCode(u8),
     /// The code says that nothing ran, and a body came with it.
@@ -185,15 +188,27 @@
     })
 }
 
-/// The outcome that an answer's code stands for.
-pub(super) fn outcome(code: u8) -> Result<Outcome, FrameError> {
-    match code {
-        200 => Ok(Outcome::Ok),
-        202 => Ok(Outcome::NotLoaded),
-        203 => Ok(Outcome::Rejected),
-        204 => Ok(Outcome::Error),
-        205 => Ok(Outcome::NotSent),
-        _ => Err(FrameError::UnknownCode(code)),
+/// What an answer's code stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AnswerCode {
+    /// How a call or an order ended.
+    Outcome(Outcome),
+    /// Whether the worker takes new work.
+    Health(HealthCheckResult),
+}
+
+impl AnswerCode {
+    pub(super) fn parse(code: u8) -> Result<AnswerCode, FrameError> {
+        match code {
+            200 => Ok(AnswerCode::Outcome(Outcome::Ok)),
+            202 => Ok(AnswerCode::Outcome(Outcome::NotLoaded)),
+            203 => Ok(AnswerCode::Outcome(Outcome::Rejected)),
+            204 => Ok(AnswerCode::Outcome(Outcome::Error)),
+            205 => Ok(AnswerCode::Outcome(Outcome::NotSent)),
+            206 => Ok(AnswerCode::Health(HealthCheckResult::Accepting)),
+            207 => Ok(AnswerCode::Health(HealthCheckResult::NotAccepting)),
+            _ => Err(FrameError::UnknownCode(code)),
+        }
     }
 }
 
@@ -216,6 +231,11 @@
     encode(CODE_HOLD, id, &fields, &[])
 }
 
+/// Encodes a question whether the worker takes new work.
+pub(super) fn health_check(id: u64) -> Vec<u8> {
+    encode(CODE_HEALTH_CHECK, id, "", &[])
+}
+
 /// Encodes an order to unload idle replicas, which gets no answer.
 pub(super) fn unload(function: FunctionId) -> Vec<u8> {
     encode(CODE_UNLOAD, function, "", &[])
--- a/wrenseam/src/worker/frames/connection.rs
+++ b/wrenseam/src/worker/frames/connection.rs
@@ -6,6 +6,7 @@
 use may::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Instant;
+use wrenseam_policy::readiness_lease::HealthCheckResult;
 use wrenseam_policy::Outcome;
 
 /// The shared state of one connection.
@@ -15,6 +16,7 @@
     open_exchanges: AtomicUsize,
     closed: AtomicBool,
     draining: AtomicBool,
+    refused: AtomicBool,
     /// Whether the writer has taken over the last keepalive probe.
     probe_taken: AtomicBool,
     /// The bytes written.
@@ -53,6 +55,16 @@
         self.draining.store(true, Ordering::Release);
     }
 
+    /// Whether the worker's address refused the connection.
+    fn is_refused(&self) -> bool {
+        self.refused.load(Ordering::Acquire)
+    }
+
+    /// The worker's address refused the connection.
+    pub(super) fn set_refused(&self) {
+        self.refused.store(true, Ordering::Release);
+    }
+
     /// Whether the writer has taken over the last keepalive probe.
     pub(super) fn is_probe_taken(&self) -> bool {
         self.probe_taken.load(Ordering::Acquire)
@@ -76,6 +88,14 @@
                 reports.attempt_ended(key, AttemptReport::without_payload(outcome));
             }
             ExchangeKind::Order(order) => reports.load_order_ended(order, outcome, 0),
+            ExchangeKind::HealthCheck(check) => {
+                let result = if self.is_refused() {
+                    HealthCheckResult::Refused
+                } else {
+                    HealthCheckResult::Unreachable
+                };
+                reports.health_check_ended(check, result);
+            }
             ExchangeKind::Probe => {}
         }
     }
--- a/wrenseam/src/worker/frames/exchange.rs
+++ b/wrenseam/src/worker/frames/exchange.rs
@@ -15,10 +15,19 @@
     Attempt(AttemptKey),
     /// An order of this number to hold replicas.
     Order(u64),
+    /// A health check of this number.
+    HealthCheck(u64),
     /// A keepalive probe, of which the core does not know.
     Probe,
 }
 
+impl ExchangeKind {
+    /// Whether it asks about the worker and not for any work.
+    pub(super) fn is_check(self) -> bool {
+        matches!(self, ExchangeKind::Probe | ExchangeKind::HealthCheck(_))
+    }
+}
+
 /// An exchange that is to be opened.
 pub(super) struct NewExchange {
     pub(super) kind: ExchangeKind,
@@ -81,9 +90,9 @@
 }
 
 impl ExchangeTable {
-    /// The oldest open exchange, probes aside.
+    /// The oldest open exchange, checks aside.
     pub(super) fn oldest(&self) -> Option<OldestExchange> {
-        self.without_probes()
+        self.without_checks()
             .min_by_key(|exchange| exchange.opened_at)
             .map(|exchange| OldestExchange {
                 opened_at: exchange.opened_at,
@@ -91,9 +100,9 @@
             })
     }
 
-    /// Whether an exchange other than a probe was opened since the last answer.
+    /// Whether an exchange other than a check was opened since the last answer.
     pub(super) fn opened_since_answer(&self) -> bool {
-        self.without_probes().any(|exchange| {
+        self.without_checks().any(|exchange| {
             self.last_answer_at
                 .is_none_or(|answer_at| exchange.opened_at > answer_at)
         })
@@ -107,9 +116,9 @@
             .map(|(&id, _)| id)
     }
 
-    fn without_probes(&self) -> impl Iterator<Item = &Exchange> {
+    fn without_checks(&self) -> impl Iterator<Item = &Exchange> {
         self.open
             .values()
-            .filter(|exchange| exchange.kind != ExchangeKind::Probe)
+            .filter(|exchange| !exchange.kind.is_check())
     }
 }
--- a/wrenseam/src/worker/frames/mod.rs
+++ b/wrenseam/src/worker/frames/mod.rs
@@ -32,7 +32,10 @@
 use wrenseam_policy::FunctionId;
 use writer::Writer;
 
-/// Ids of orders count down from here, away from those that clients draw at random.
+/// The function of exchanges that are about none.
+const NO_FUNCTION: FunctionId = 0;
+
+/// Ids of orders and health checks count down from here, away from those that clients draw at random.
 const FIRST_ORDER_ID: u64 = u64::MAX;
 
 /// Of the time between two keepalive checks no more than this many intervals counts as silence: a longer one means that
@@ -173,6 +176,23 @@
         });
     }
 
+    fn check_health(&mut self, check: u64) {
+        let id = FIRST_ORDER_ID - check;
+        let start_deadline = order_start_deadline(&self.limits);
+        self.connection_for(None).open(NewExchange {
+            kind: ExchangeKind::HealthCheck(check),
+            id,
+            function: NO_FUNCTION,
+            frame: codec::health_check(id),
+            withheld_on_drain: false,
+            dispatch: Dispatch::new(Arc::default(), start_deadline),
+        });
+    }
+
+    fn abandon_health_check(&mut self, check: u64) {
+        self.cancel_exchange(ExchangeKind::HealthCheck(check));
+    }
+
     fn unload(&mut self, function: FunctionId) {
         let frame = codec::unload(function);
         self.connection_for(None).write(Outbound::OneWay(frame));
--- a/wrenseam/src/worker/frames/reader.rs
+++ b/wrenseam/src/worker/frames/reader.rs
@@ -1,7 +1,7 @@
 //! The reading side of one connection to a worker: answers, each to the exchange that it belongs to.
 use super::super::socket::has_no_unread_input;
 use super::super::{log_lines, replica_loaded};
-use super::codec::{outcome, Decoder, Frame, FrameError};
+use super::codec::{AnswerCode, Decoder, Frame, FrameError};
 use super::connection::ConnectionState;
 use super::exchange::{Exchange, ExchangeKind};
 use crate::limits::Limits;
@@ -14,6 +14,7 @@
 use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
 use std::time::Instant;
+use wrenseam_policy::readiness_lease::HealthCheckResult;
 use wrenseam_policy::Outcome;
 
 /// Why a connection is not read any further.
@@ -66,6 +67,7 @@
             note!("{}", log_lines::connection_closed(address, &reason));
         }
         self.state.close(&self.reports);
+        self.reports.worker_connection_ended(address);
     }
 
     fn read_and_shut_down(&mut self) -> Result<(), ReadError> {
@@ -102,48 +104,67 @@
     /// step.
     fn handle_answers(&mut self) -> Result<(), FrameError> {
         while let Some(frame) = self.decoder.next(&mut self.ring, self.limits.answer)? {
-            let outcome = outcome(frame.code)?;
+            let answer = AnswerCode::parse(frame.code)?;
             // Guards against a damaged code, which the checksum does not cover: what never ran has no body.
-            if outcome.proves_not_executed() && !frame.body.is_empty() {
+            let never_ran = match answer {
+                AnswerCode::Outcome(outcome) => outcome.proves_not_executed(),
+                AnswerCode::Health(_) => true,
+            };
+            if never_ran && !frame.body.is_empty() {
                 return Err(FrameError::UnexpectedBody(frame.code));
             }
             // An answer to an exchange that has ended already comes late and is dropped.
-            if let Some(exchange) = self.take_exchange(frame.id)? {
+            if let Some(exchange) = self.take_exchange(&frame, answer)? {
                 exchange.dispatch.end();
                 self.state.count_ended();
-                self.report_answer(exchange.kind, outcome, frame);
+                self.report_answer(exchange.kind, answer, frame);
             }
         }
         Ok(())
     }
 
-    /// Takes the exchange that this id belongs to out of the table.
-    fn take_exchange(&self, id: u64) -> Result<Option<Exchange>, FrameError> {
+    /// Takes the exchange that this frame answers out of the table.
+    fn take_exchange(
+        &self,
+        frame: &Frame,
+        answer: AnswerCode,
+    ) -> Result<Option<Exchange>, FrameError> {
         let mut table = self.state.table.lock().map_err(|_| FrameError::Poisoned)?;
         table.last_answer_at = Some(Instant::now());
         // Guards against an answer to a frame that is not completely written: the rest of it would follow, and might
         // run.
-        let is_incomplete = table
-            .open
-            .get(&id)
-            .is_some_and(|exchange| exchange.frame_end > self.state.progress.bytes());
-        if is_incomplete {
-            return Err(FrameError::IncompleteCall);
+        if let Some(exchange) = table.open.get(&frame.id) {
+            if exchange.frame_end > self.state.progress.bytes() {
+                return Err(FrameError::IncompleteCall);
+            }
+            let is_health = matches!(answer, AnswerCode::Health(_));
+            if is_health && !exchange.kind.is_check() {
+                return Err(FrameError::UnknownCode(frame.code));
+            }
         }
-        Ok(table.open.remove(&id))
+        Ok(table.open.remove(&frame.id))
     }
 
-    fn report_answer(&self, kind: ExchangeKind, outcome: Outcome, frame: Frame) {
-        match kind {
-            ExchangeKind::Probe => {}
-            ExchangeKind::Order(order) => {
+    fn report_answer(&self, kind: ExchangeKind, answer: AnswerCode, frame: Frame) {
+        match (kind, answer) {
+            (ExchangeKind::Probe, _) => {}
+            (ExchangeKind::HealthCheck(check), AnswerCode::Health(result)) => {
+                self.reports.health_check_ended(check, result);
+            }
+            (ExchangeKind::HealthCheck(check), AnswerCode::Outcome(_)) => {
+                let result = HealthCheckResult::NotAccepting;
+                self.reports.health_check_ended(check, result);
+            }
+            (ExchangeKind::Order(order), AnswerCode::Outcome(outcome)) => {
                 let replicas = frame.number("slots_up").unwrap_or(0);
                 self.reports.load_order_ended(order, outcome, replicas);
             }
-            ExchangeKind::Attempt(key) => {
+            (ExchangeKind::Attempt(key), AnswerCode::Outcome(outcome)) => {
                 self.reports
                     .attempt_ended(key, attempt_report(outcome, frame));
             }
+            // Not taken out of the table.
+            (ExchangeKind::Order(_) | ExchangeKind::Attempt(_), AnswerCode::Health(_)) => {}
         }
     }
 }
--- a/wrenseam/src/worker/frames/writer.rs
+++ b/wrenseam/src/worker/frames/writer.rs
@@ -86,7 +86,12 @@
     }
 
     fn connect(&self) -> io::Result<TcpStream> {
-        let stream = self.calls.connect(&self.address, self.limits.connect)?;
+        let connected = self.calls.connect(&self.address, self.limits.connect);
+        let stream = connected.inspect_err(|error| {
+            if error.kind() == io::ErrorKind::ConnectionRefused {
+                self.state.set_refused();
+            }
+        })?;
         stream.set_nodelay(true)?;
         Ok(stream)
     }
--- a/wrenseam/src/worker/kserve/mod.rs
+++ b/wrenseam/src/worker/kserve/mod.rs
@@ -227,6 +227,11 @@
         self.open_order(kind, request, start_deadline, replicas > 0);
     }
 
+    /// Its workers are listed by a file, which no discovery service could be out of reach for.
+    fn check_health(&mut self, _check: u64) {}
+
+    fn abandon_health_check(&mut self, _check: u64) {}
+
     fn unload(&mut self, function: FunctionId) {
         let path = format!("/v2/repository/models/{function:016x}/unload");
         let request = self.post(&path, self.limits.order, b"{}");
--- a/wrenseam/src/worker/mod.rs
+++ b/wrenseam/src/worker/mod.rs
@@ -70,6 +70,10 @@
     fn is_idle(&self) -> bool;
     /// Orders the worker to hold this many replicas; 0 only asks how many it holds.
     fn order(&mut self, order: u64, function: FunctionId, replicas: u32);
+    /// Asks the worker whether it takes new work; its state is no matter.
+    fn check_health(&mut self, check: u64);
+    /// Stops waiting for the answer to a health check.
+    fn abandon_health_check(&mut self, check: u64);
     /// Has idle replicas unloaded.
     fn unload(&mut self, function: FunctionId);
     /// The worker drains or is gone: attempts and orders of which no byte is written yet are not written.
--- a/wrenseam/tests/common/program.rs
+++ b/wrenseam/tests/common/program.rs
@@ -15,7 +15,7 @@
  "family-info":{"free-loads":4,"keep":8000,"load-span":5000,"load-wait":4000,"loads-per-request":0.15,
  "machine-mb":[90000],"orders":true,"tells-crowd":true,"tells-warm":true,"when-absent":"load"},
  "limits":{"conn-idle":15000,"connect-timeout":250,"max-attempts":3,"max-retry-after":1000,"may-cancel":true,
- "retry-after":true,"second-copies":false,"streams-per-conn":100},"rules":{"cold-from":0.2,"fall":1000,
+ "probes":true,"retry-after":true,"second-copies":false,"streams-per-conn":100},"rules":{"cold-from":0.2,"fall":1000,
  "fall-multiple":2,"warm-within":17000}}"#;
 
 /// A variable of the program's environment.
--- a/wrenseam/tests/common/workers/frames.rs
+++ b/wrenseam/tests/common/workers/frames.rs
@@ -18,6 +18,9 @@
             continue;
         }
         match frame.code {
+            code::HEALTH_CHECK => {
+                stream.write_all(&encode_answer(code::ACCEPTING, frame.id, "", &[]))?;
+            }
             code::LOAD_ORDER => answer_order(&frame, stream.try_clone()?, &context.orders),
             code::CALL => {
                 let _ = context.calls.send(ReceivedCall {
--- a/wrenseam/tests/core_log_lines.rs
+++ b/wrenseam/tests/core_log_lines.rs
@@ -2,7 +2,7 @@
 use rstest::rstest;
 use wrenseam::core::log_lines::{InvalidRequest, LogLine};
 use wrenseam::model::{Endpoint, RequestEnd, TransportProtocol};
-use wrenseam_policy::readiness_lease::Interruption;
+use wrenseam_policy::readiness_lease::{Interruption, SuspendReason};
 use wrenseam_policy::{Outcome, WorkerState};
 
 #[rstest]
@@ -54,6 +54,18 @@
     LogLine::DiscoveryRegained { outage: 14_200_000 },
     "discovery: contact regained after 14200 ms, the list is confirmed"
 )]
+#[case::suspended(
+    LogLine::Suspended { worker_id: "w1", reason: SuspendReason::LeaseEnded },
+    "endpoint w1: suspended (LeaseEnded)"
+)]
+#[case::resumed(
+    LogLine::Resumed { worker_id: "w1", may_have_restarted: false },
+    "endpoint w1: resumed"
+)]
+#[case::resumed_as_new(
+    LogLine::Resumed { worker_id: "w1", may_have_restarted: true },
+    "endpoint w1: resumed, may be a new process"
+)]
 #[case::excluded(LogLine::Excluded("w1"), "admin: exclude w1, it gets no new requests")]
 #[case::included(LogLine::Included("w1"), "admin: include w1, back as a new process")]
 #[case::draining(
--- a/wrenseam/tests/core_tables.rs
+++ b/wrenseam/tests/core_tables.rs
@@ -140,6 +140,7 @@
     let order = LoadOrder {
         worker: "w1".to_owned(),
         function: 7,
+        replicas: 1,
         ordered_at: 50,
     };
     let mut orders = LoadOrders::default();
--- a/wrenseam/tests/standin/frames.rs
+++ b/wrenseam/tests/standin/frames.rs
@@ -23,6 +23,11 @@
         let frame = read_frame(&mut stream)?;
         let next = match frame.code {
             code::CALL => serve_call(worker, frame.id, &stream, &answers),
+            code::HEALTH_CHECK => {
+                let accepting = encode_answer(code::ACCEPTING, frame.id, "", b"");
+                write_after(&answers, accepting, Duration::ZERO);
+                ControlFlow::Continue(())
+            }
             code::LOAD_ORDER => {
                 let loaded = encode_answer(code::OK, frame.id, "slots_up=1", b"");
                 write_after(&answers, loaded, Duration::ZERO);
--- a/wrenseam/tests/telemetry.rs
+++ b/wrenseam/tests/telemetry.rs
@@ -68,8 +68,11 @@
     let figures = DiscoveryFigures {
         confirmed_ms_ago: Some(1234),
         interruptions: 2,
+        suspended: 3,
+        health_checks: 45,
     };
     let text = counters.telemetry(&[], Gauges::default(), Some(figures), None);
-    let end = "app.discovery.confirmed_ms_ago:1234|g\napp.discovery.interruptions:2|c\nEND\n";
+    let end = "app.discovery.confirmed_ms_ago:1234|g\napp.discovery.interruptions:2|c\n\
+               app.members_suspended:3|g\napp.health_checks:45|c\nEND\n";
     assert!(text.ends_with(end), "{text}");
 }
--- a/wrenseam/tests/worker_table.rs
+++ b/wrenseam/tests/worker_table.rs
@@ -75,6 +75,14 @@
         self.note("order");
     }
 
+    fn check_health(&mut self, check: u64) {
+        self.note(&format!("check {check}"));
+    }
+
+    fn abandon_health_check(&mut self, check: u64) {
+        self.note(&format!("abandons check {check}"));
+    }
+
     fn unload(&mut self, _function: FunctionId) {
         self.note("unload");
     }
