Discovery: a request is made anew in time though events come

Cause: a request was confirmed once, and made anew only when it had brought no event for 3 to 4.5 s (client.rs, receive); where the list changes more often than that one request lasts, its confirmation ages past the lease. The confirmation also asked for 250 ms without an event, which a busy list may never give.

Change: a confirmed request is made anew after the same 3 to 4.5 s whether events come or not, and it counts as settled by a comment 250 ms or more after it was made. Ruled out: taking an event for a confirmation of its own time (it may be late, or another may be missing).

--- a/wrenseam/src/discovery/client.rs
+++ b/wrenseam/src/discovery/client.rs
@@ -34,9 +34,9 @@
     /// Nothing came for too long, not even a comment.
     #[error("silent")]
     Silent,
-    /// Comments came, but no event for long: the service may send none any more.
-    #[error("no events")]
-    NoEvents,
+    /// The request is so old, or brought no event for so long, that only a new one shows what is missing.
+    #[error("made anew")]
+    MadeAnew,
     /// The response cannot be read.
     #[error(transparent)]
     Stream(#[from] EventStreamError),
@@ -91,7 +91,8 @@
     last_read_at: Instant,
     last_event_at: Instant,
     has_read: bool,
-    has_comment: bool,
+    /// Whether it commented so late that it had sent all events before.
+    has_settled: bool,
     is_confirmed: bool,
 }
 
@@ -101,7 +102,7 @@
         let address = self.service.get();
         let last_event = self.state.last_event();
         let error = self.read_events(address);
-        if matches!(error, ConnectionError::NoEvents) {
+        if matches!(error, ConnectionError::MadeAnew) {
             return Duration::ZERO;
         }
         if let Some(address) = address {
@@ -176,12 +177,10 @@
             .discovery_contact(DiscoveryContact::Interrupted { at, cause });
     }
 
-    /// Reports, once for each request, that all that had happened when it was made has been received: the service
-    /// comments and has sent no event for a while, and no event lacks a part.
+    /// Reports, once for each request, that all that had happened when it was made has been received, if no event lacks a
+    /// part.
     fn confirm_if_settled(&mut self, connection: &mut Connection) {
-        let is_settled = connection.has_comment
-            && connection.last_event_at.elapsed() >= self.limits.settle_time
-            && self.state.is_complete();
+        let is_settled = connection.has_settled && self.state.is_complete();
         if is_settled && !std::mem::replace(&mut connection.is_confirmed, true) {
             let requested_at = connection.requested_at;
             self.is_out_of_contact = false;
@@ -210,7 +209,7 @@
             last_read_at: now,
             last_event_at: now,
             has_read: false,
-            has_comment: false,
+            has_settled: false,
             is_confirmed: false,
         })
     }
@@ -228,8 +227,8 @@
         self.handle_bytes(connection)?;
         // A service that sends comments only may have an event that never comes on this connection. Checked last, so
         // that what has come is not requested again.
-        if connection.last_event_at.elapsed() >= event_timeout {
-            return Err(ConnectionError::NoEvents);
+        if connection.is_to_be_made_anew(event_timeout) {
+            return Err(ConnectionError::MadeAnew);
         }
         Ok(())
     }
@@ -239,7 +238,8 @@
             let update = match connection.response.push(byte)? {
                 StreamItem::Incomplete => continue,
                 StreamItem::Comment => {
-                    connection.has_comment = true;
+                    let age = connection.requested_at.elapsed();
+                    connection.has_settled |= age >= self.limits.settle_time;
                     self.state.comment()?
                 }
                 StreamItem::Event(event) => {
@@ -260,6 +260,12 @@
 }
 
 impl Connection {
+    /// Whether a new request is due, as only its answer confirms anew what has been received.
+    fn is_to_be_made_anew(&self, event_timeout: Duration) -> bool {
+        let is_old = self.is_confirmed && self.requested_at.elapsed() >= event_timeout;
+        is_old || self.last_event_at.elapsed() >= event_timeout
+    }
+
     /// Replaces `bytes` by what has come, which may be nothing.
     fn read(&mut self, silence_timeout: Duration) -> Result<(), ConnectionError> {
         match self.buffer.fill(&mut self.stream) {
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -281,12 +281,12 @@
 /// counts as reported 4 s on.
 const DISCOVERY_SILENCE: Duration = Duration::from_millis(2_500);
 
-/// Bounds of the time without an event after which a new request is made. What the service has to report counts as
+/// Bounds of the time after which a new request is made. What the service has to report counts as
 /// reported 7 s on, and a request that fails leaves time for another.
 const DISCOVERY_EVENT_TIMEOUT_MIN: Duration = Duration::from_millis(3_000);
 const DISCOVERY_EVENT_TIMEOUT_MAX: Duration = Duration::from_millis(4_500);
 
-/// The service sends the events that it has without a pause as long.
+/// The service sends the events that it has well before it comments after this time.
 const DISCOVERY_SETTLE: Duration = Duration::from_millis(250);
 
 /// How often a waiting read looks whether the address has changed.
@@ -311,12 +311,12 @@
     pub connect_timeout: Duration,
     /// A connection on which nothing comes for so long has ended.
     pub silence_timeout: Duration,
-    /// A request that brings no event for so long, drawn from here to `event_timeout_max`, is replaced by a new one though
-    /// comments come.
+    /// A request that is so old, or brings no event for so long, drawn from here to `event_timeout_max`, is replaced by a
+    /// new one though comments come.
     pub event_timeout_min: Duration,
     /// The longest such time.
     pub event_timeout_max: Duration,
-    /// Once a service has commented and sent no event for so long, it has sent all that it has.
+    /// A service that comments so long after the request has sent all events that it had.
     pub settle_time: Duration,
     /// How often a waiting read looks whether the service's address has changed.
     pub address_check_interval: Duration,
--- a/wrenseam/tests/discovery_log_lines.rs
+++ b/wrenseam/tests/discovery_log_lines.rs
@@ -72,7 +72,7 @@
 #[case::moved(ConnectionError::AddressChanged, "the discovery service has moved")]
 #[case::closed(ConnectionError::Closed, "closed")]
 #[case::silent(ConnectionError::Silent, "silent")]
-#[case::no_events(ConnectionError::NoEvents, "no events")]
+#[case::made_anew(ConnectionError::MadeAnew, "made anew")]
 #[case::io(ConnectionError::Io(std::io::Error::other("refused")), "refused")]
 #[case::stream(ConnectionError::Stream(EventStreamError::Ended), "the stream ended")]
 #[case::watch(
--- a/wrenseam/tests/discovery_outage.rs
+++ b/wrenseam/tests/discovery_outage.rs
@@ -16,6 +16,8 @@
 const WORK: Duration = Duration::from_millis(15);
 /// From the begin of an outage until workers drain.
 const OUTAGE_BEFORE_DRAIN: Duration = Duration::from_millis(400);
+/// What discovery has to tell counts as told so long after it happened, ms.
+const TOLD_AFTER_MS: u64 = 7_000;
 /// How long workers drain before they stop.
 const DRAIN: Duration = Duration::from_secs(14);
 /// The end of a drain, in which service is measured.
@@ -139,3 +141,19 @@
         "served {served}, {usual} before the outage"
     );
 }
+
+#[test]
+fn a_list_that_changes_often_stays_confirmed() {
+    let mut platform = Platform::start(Deployment::default());
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_secs(12) {
+        let worker = &platform.workers[0];
+        platform.log.publish(&[worker.instance("ready")]);
+        std::thread::sleep(Duration::from_millis(700));
+    }
+    platform.clients.stop();
+    for front_end in &platform.front_ends {
+        let age = front_end.figure("app.discovery.confirmed_ms_ago");
+        assert!(age.is_some_and(|age| age < TOLD_AFTER_MS), "{age:?}");
+    }
+}
