New work is not started past its worker's lease, nor before overdue reviews

A lease is looked at every 0.1 s; work that was decided before and waits for a connection that comes up late, or behind a stalled write, could be written after the lease's end until that look, and the messages of a process that was stopped came before its overdue timers (core/mod.rs, handle_batch).

Change: attempts and orders to load carry the lease's end as their start deadline (AttemptLimits::start_deadline, Transport::order), which the dispatch already compares at the first byte; a review that is overdue by 0.1 s comes before the messages. Both hold on every transport.

--- a/policy/src/readiness_lease.rs
+++ b/policy/src/readiness_lease.rs
@@ -244,6 +244,12 @@
         self.workers.values().filter(is_suspended).count()
     }
 
+    /// Until when a worker may be sent new work by what is known of it; `None` where no lease applies to it.
+    pub fn ends_at(&self, worker: &str) -> Option<Micros> {
+        let record = self.workers.get(worker).filter(|_| self.is_followed)?;
+        Some(record.own.ends_at.max(self.list.ends_at) + self.grace)
+    }
+
     /// Discovery has reported all that had happened at `at`.
     pub fn list_confirmed(&mut self, at: Micros) -> Vec<LeaseAction> {
         self.is_followed = true;
--- a/wrenseam/src/core/attempts.rs
+++ b/wrenseam/src/core/attempts.rs
@@ -32,6 +32,7 @@
         };
         // The front knows that a client has gone before the core is notified.
         let client_gone = request.client_gone.load(Ordering::Acquire);
+        let start_deadline = self.lease_end(&worker);
         let startable = admitted && budget > 0 && !client_gone;
         match self.workers.ready_transport(&worker) {
             // Reported as the worker's rejection, so that the policy avoids this worker for a while.
@@ -42,6 +43,7 @@
                 let limits = AttemptLimits {
                     answer_timeout: budget,
                     write_deadline: write_by,
+                    start_deadline,
                 };
                 transport.send(key, &request, limits);
                 self.leases.used(&worker, now);
--- a/wrenseam/src/core/load_orders.rs
+++ b/wrenseam/src/core/load_orders.rs
@@ -13,6 +13,10 @@
         let now = self.clock.now();
         let number = self.next_number();
         let has_connection = self.make_room(&worker);
+        let start_deadline = match replicas {
+            0 => None,
+            _ => self.lease_end(&worker),
+        };
         let transport = match replicas {
             0 => self.workers.transport(&worker),
             _ => self.workers.ready_transport(&worker),
@@ -20,7 +24,7 @@
         // An order that cannot be sent ends through the queue, like one that the worker answers.
         match transport {
             Some(transport) if has_connection => {
-                transport.order(number, function, replicas);
+                transport.order(number, function, replicas, start_deadline);
                 if replicas > 0 {
                     self.leases.used(&worker, now);
                 }
--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -71,6 +71,7 @@
     contact: ContactRecord,
     leases: ReadinessLeases,
     health_checks: HealthChecks,
+    leases_reviewed_at: Micros,
     timers: Timers,
     /// Events that the policy has not handled yet.
     events: VecDeque<Event>,
@@ -114,6 +115,7 @@
             membership: Membership::default(),
             contact: ContactRecord::default(),
             health_checks: HealthChecks::default(),
+            leases_reviewed_at: 0,
             timers: Timers::default(),
             events: VecDeque::new(),
             fleet_admission: None,
@@ -171,6 +173,7 @@
     /// Handles a message and those that have queued up behind it, before any timer: an answer that is here already
     /// wins over its timeout.
     fn handle_batch(&mut self, first: Message) {
+        self.review_overdue_leases();
         self.handle_message(first);
         for _ in 0..MESSAGE_BATCH {
             let Ok(message) = self.inbox.try_recv() else {
--- a/wrenseam/src/core/readiness.rs
+++ b/wrenseam/src/core/readiness.rs
@@ -5,6 +5,7 @@
 use crate::model::{Endpoint, TransportProtocol};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::Instant;
 use wrenseam_policy::readiness_lease::{HealthCheckResult, LeaseAction};
 use wrenseam_policy::{Micros, Outcome, WorkerId};
 
@@ -29,14 +30,34 @@
 }
 
 impl Core {
+    /// Reviews the leases from time to time.
+    pub(super) fn review_leases_periodically(&mut self) {
+        self.review_leases();
+        let next = self.clock.now() + LEASE_REVIEW_PERIOD;
+        self.timers.set(next, TimerEvent::LeaseReview);
+    }
+
+    /// Reviews the leases before anything else if that is overdue: this process may have stood still.
+    pub(super) fn review_overdue_leases(&mut self) {
+        if self.clock.now() > self.leases_reviewed_at + 2 * LEASE_REVIEW_PERIOD {
+            self.review_leases();
+            self.process_events();
+        }
+    }
+
     /// Suspends workers whose leases have ended and sends the health checks that are due.
-    pub(super) fn review_leases(&mut self) {
+    fn review_leases(&mut self) {
         let now = self.clock.now();
+        self.leases_reviewed_at = now;
         self.abandon_overdue_checks(now);
         let actions = self.leases.review(now);
         self.apply_lease_actions(actions);
-        self.timers
-            .set(now + LEASE_REVIEW_PERIOD, TimerEvent::LeaseReview);
+    }
+
+    /// When new work must have been started at a worker at the latest.
+    pub(super) fn lease_end(&self, worker: &str) -> Option<Instant> {
+        let ends_at = self.leases.ends_at(worker)?;
+        Some(self.clock.instant(ends_at))
     }
 
     fn abandon_overdue_checks(&mut self, now: Micros) {
--- a/wrenseam/src/core/timer_events.rs
+++ b/wrenseam/src/core/timer_events.rs
@@ -15,7 +15,7 @@
             TimerEvent::LoadOrderTimeout(order) => self.time_out_load_order(order),
             TimerEvent::RequestDeadline(id) => self.finish_request(id, Answer::Failed),
             TimerEvent::LivenessCheck => self.check_liveness(),
-            TimerEvent::LeaseReview => self.review_leases(),
+            TimerEvent::LeaseReview => self.review_leases_periodically(),
             TimerEvent::IdleSweep => self.sweep_idle(),
         }
     }
--- a/wrenseam/src/worker/dispatch.rs
+++ b/wrenseam/src/worker/dispatch.rs
@@ -137,10 +137,10 @@
     /// The dispatch of an attempt at this request, sent at `now`.
     pub fn for_attempt(request: &Request, limits: AttemptLimits, now: Instant) -> Arc<Dispatch> {
         let answer_deadline = now + Duration::from_micros(limits.answer_timeout);
-        let start_deadline = match limits.write_deadline {
-            Some(write_deadline) => write_deadline.min(answer_deadline),
-            None => answer_deadline,
-        };
+        let start_deadline = [limits.write_deadline, limits.start_deadline]
+            .into_iter()
+            .flatten()
+            .fold(answer_deadline, Instant::min);
         Arc::new(Dispatch {
             state: AtomicDispatchState::new(DispatchState::Waiting),
             client_gone: request.client_gone.clone(),
--- a/wrenseam/src/worker/frames/mod.rs
+++ b/wrenseam/src/worker/frames/mod.rs
@@ -162,10 +162,16 @@
         self.connections.is_empty()
     }
 
-    fn order(&mut self, order: u64, function: FunctionId, replicas: u32) {
+    fn order(
+        &mut self,
+        order: u64,
+        function: FunctionId,
+        replicas: u32,
+        start_deadline: Option<Instant>,
+    ) {
         let id = FIRST_ORDER_ID - order;
         let frame = codec::hold(id, function, replicas);
-        let start_deadline = order_start_deadline(&self.limits);
+        let start_deadline = order_start_deadline(&self.limits, start_deadline);
         self.connection_for(None).open(NewExchange {
             kind: ExchangeKind::Order(order),
             id,
@@ -178,7 +184,7 @@
 
     fn check_health(&mut self, check: u64) {
         let id = FIRST_ORDER_ID - check;
-        let start_deadline = order_start_deadline(&self.limits);
+        let start_deadline = order_start_deadline(&self.limits, None);
         self.connection_for(None).open(NewExchange {
             kind: ExchangeKind::HealthCheck(check),
             id,
--- a/wrenseam/src/worker/kserve/mod.rs
+++ b/wrenseam/src/worker/kserve/mod.rs
@@ -209,7 +209,13 @@
         self.shared.open_exchanges() == 0
     }
 
-    fn order(&mut self, order: u64, function: FunctionId, replicas: u32) {
+    fn order(
+        &mut self,
+        order: u64,
+        function: FunctionId,
+        replicas: u32,
+        start_deadline: Option<Instant>,
+    ) {
         let request = if replicas > 0 {
             let path = format!("/v2/repository/models/{function:016x}/load");
             let body = messages::hold(replicas);
@@ -218,7 +224,7 @@
             let body = b"{\"ready\":true}";
             self.post("/v2/repository/index", self.limits.order, body)
         };
-        let start_deadline = order_start_deadline(&self.limits);
+        let start_deadline = order_start_deadline(&self.limits, start_deadline);
         let kind = ExchangeKind::Order(Order {
             number: order,
             function,
--- a/wrenseam/src/worker/mod.rs
+++ b/wrenseam/src/worker/mod.rs
@@ -37,6 +37,8 @@
     /// For a retry of an attempt that may have run: it must have been written completely by then, as its worker does
     /// not recognise a duplicate that comes later.
     pub write_deadline: Option<Instant>,
+    /// It is not started later than this, as its worker may drain by then.
+    pub start_deadline: Option<Instant>,
 }
 
 impl AttemptLimits {
@@ -45,6 +47,7 @@
         AttemptLimits {
             answer_timeout,
             write_deadline: None,
+            start_deadline: None,
         }
     }
 }
@@ -68,8 +71,15 @@
     fn abandon_order(&mut self, order: u64);
     /// Whether no connection is left.
     fn is_idle(&self) -> bool;
-    /// Orders the worker to hold this many replicas; 0 only asks how many it holds.
-    fn order(&mut self, order: u64, function: FunctionId, replicas: u32);
+    /// Orders the worker to hold this many replicas; 0 only asks how many it holds. It is not started later than
+    /// `start_deadline`.
+    fn order(
+        &mut self,
+        order: u64,
+        function: FunctionId,
+        replicas: u32,
+        start_deadline: Option<Instant>,
+    );
     /// Asks the worker whether it takes new work; its state is no matter.
     fn check_health(&mut self, check: u64);
     /// Stops waiting for the answer to a health check.
@@ -119,8 +129,9 @@
 
 /// Until when an order may be started. Guards the worker's ration of loads: it counts an order when it arrives, and
 /// several that a late connection held back would arrive within one period.
-fn order_start_deadline(limits: &Limits) -> Instant {
-    Instant::now() + limits.connect + limits.write_check
+fn order_start_deadline(limits: &Limits, latest: Option<Instant>) -> Instant {
+    let deadline = Instant::now() + limits.connect + limits.write_check;
+    latest.map_or(deadline, |latest| latest.min(deadline))
 }
 
 /// Whether the replica was loaded before the attempt came, as a worker's answer says in its `detail`.
--- a/wrenseam/tests/discovery_outage.rs
+++ b/wrenseam/tests/discovery_outage.rs
@@ -157,3 +157,22 @@
         assert!(age.is_some_and(|age| age < TOLD_AFTER_MS), "{age:?}");
     }
 }
+
+#[test]
+fn front_ends_that_stood_still_send_nothing_to_workers_whose_drains_count_as_told_meanwhile() {
+    let mut platform = Platform::start(Deployment::default());
+    platform.discovery.interrupt(Outage::Refused);
+    platform.drain(&platform.busiest(4));
+    for front_end in &platform.front_ends {
+        front_end.signal("-STOP");
+    }
+    std::thread::sleep(Duration::from_millis(TOLD_AFTER_MS + 800));
+    for front_end in &platform.front_ends {
+        front_end.signal("-CONT");
+    }
+    std::thread::sleep(LAST_PART);
+    platform.clients.stop();
+    let told = Told::unheard(platform.deployment.drain_grace_ms);
+    let late = late_arrivals(&platform.workers, |_| told, platform.start);
+    assert!(late.is_empty(), "{} late: {late:#?}", late.len());
+}
--- a/wrenseam/tests/golden_worker_protocols.rs
+++ b/wrenseam/tests/golden_worker_protocols.rs
@@ -146,15 +146,15 @@
     pinned(&raw_frame(&mut link.accept()), golden);
 }
 
-/// An order to load, a question how many replicas stand, an order to unload, a call and its cancellation.
+/// An order to load, a question how many replicas stand, an order to unload, a health check, a call and its cancellation.
 #[test]
 fn orders_and_cancellations_are_written_as_frames() {
     let mut link = Link::new(Protocol::Frames);
-    link.transport.order(1, FUNCTION, 3);
+    link.transport.order(1, FUNCTION, 3, None);
     let mut worker = link.accept();
     pinned(&raw_frame(&mut worker), "7e06002000000000fffffffffffffffe706174683d376633613963323165306234643635352c736c6f74735f75703d33\
          e105316e");
-    link.transport.order(2, FUNCTION, 0);
+    link.transport.order(2, FUNCTION, 0, None);
     pinned(&raw_frame(&mut worker), "7e06002000000000fffffffffffffffd706174683d376633613963323165306234643635352c736c6f74735f75703d30\
          780c60d4");
     link.transport.unload(FUNCTION);
@@ -162,6 +162,11 @@
         &raw_frame(&mut worker),
         "7e080000000000007f3a9c21e0b4d65500000000",
     );
+    link.transport.check_health(3);
+    pinned(
+        &raw_frame(&mut worker),
+        "7e04000000000000fffffffffffffffc00000000",
+    );
     link.send(&bytes_request(None, false));
     raw_frame(&mut worker);
     assert_eq!(
@@ -232,7 +237,7 @@
 #[test]
 fn answers_to_orders_are_read_from_frames() {
     let mut link = Link::new(Protocol::Frames);
-    link.transport.order(1, FUNCTION, 3);
+    link.transport.order(1, FUNCTION, 3, None);
     let mut worker = link.accept();
     raw_frame(&mut worker);
     let golden = "7fc8000a00000000fffffffffffffffe736c6f74735f75703d32c89564c7";
@@ -328,7 +333,7 @@
 )]
 fn orders_are_written_as_v2_requests(#[case] replicas: u32, #[case] golden: &str) {
     let mut link = Link::new(Protocol::Kserve);
-    link.transport.order(1, FUNCTION, replicas);
+    link.transport.order(1, FUNCTION, replicas, None);
     pinned_text(&raw_http(&mut link.accept(), link.address), golden);
 }
 
@@ -433,7 +438,7 @@
     #[case] expected: (u64, Outcome, u32),
 ) {
     let mut link = Link::new(Protocol::Kserve);
-    link.transport.order(1, FUNCTION, replicas);
+    link.transport.order(1, FUNCTION, replicas, None);
     let mut worker = link.accept();
     raw_http(&mut worker, link.address);
     say_http(&mut worker, "200 OK", "", body);
--- a/wrenseam/tests/kserve_proofs.rs
+++ b/wrenseam/tests/kserve_proofs.rs
@@ -247,7 +247,7 @@
         calls,
         first,
     } = served_call();
-    transport.order(1, 7, 1);
+    transport.order(1, 7, 1, None);
     let mut ordered = next_call(&calls);
     assert_ne!(
         first.connection, ordered.connection,
--- a/wrenseam/tests/retry_window.rs
+++ b/wrenseam/tests/retry_window.rs
@@ -37,6 +37,7 @@
     let limits = AttemptLimits {
         answer_timeout: LONG,
         write_deadline: Some(Instant::now() + Duration::from_micros(window)),
+        start_deadline: None,
     };
     transport.send(FIRST, &request(9), limits);
     let since = Instant::now();
@@ -73,6 +74,7 @@
     let limits = AttemptLimits {
         answer_timeout: 60_000_000,
         write_deadline: Some(Instant::now() + Duration::from_millis(500)),
+        start_deadline: None,
     };
     for number in 0..RETRIES {
         let key = AttemptKey {
--- /dev/null
+++ b/wrenseam/tests/start_deadline.rs
@@ -0,0 +1,61 @@
+//! New work that waits for its connection until its worker may drain is not written.
+mod link;
+
+use link::{late_worker, outcome, request, transport_of, Protocol, FIRST};
+use rstest::rstest;
+use std::io::Read;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+use wrenseam::worker::AttemptLimits;
+use wrenseam_policy::Outcome;
+
+/// How long a connect may take: longer than the test lasts.
+const CONNECT: Duration = Duration::from_secs(20);
+const ANSWER_TIMEOUT_MICROS: u64 = 20_000_000;
+/// A deadline that passes while the connection is held back.
+const SOON: Duration = Duration::from_millis(60);
+
+#[derive(Clone, Copy, Debug)]
+enum NewWork {
+    Attempt,
+    LoadOrder,
+}
+
+#[rstest]
+fn new_work_is_not_written_once_its_start_deadline_has_passed(
+    #[values(Protocol::Frames, Protocol::Kserve)] protocol: Protocol,
+    #[values(NewWork::Attempt, NewWork::LoadOrder)] work: NewWork,
+    #[values(SOON, CONNECT)] within: Duration,
+) {
+    let (listener, address, fillers) = late_worker();
+    let (mut transport, reports) = transport_of(protocol, address, |limits| {
+        limits.connect = CONNECT;
+    });
+    let since = Instant::now();
+    let start_deadline = Some(since + within);
+    match work {
+        NewWork::Attempt => {
+            let limits = AttemptLimits {
+                start_deadline,
+                ..AttemptLimits::with_timeout(ANSWER_TIMEOUT_MICROS)
+            };
+            transport.send(FIRST, &request(9), limits);
+        }
+        NewWork::LoadOrder => transport.order(1, 7, 1, start_deadline),
+    }
+    while since.elapsed() <= SOON {
+        std::thread::yield_now();
+    }
+    let mut accepted: Vec<TcpStream> = (0..=fillers.len())
+        .map(|_| listener.accept().expect("one").0)
+        .collect();
+    let late = accepted.last_mut().expect("the late one");
+    if within == CONNECT {
+        late.read_exact(&mut [0; 1]).expect("written");
+        return;
+    }
+    assert_eq!(outcome(&reports).1, Outcome::NotSent);
+    drop((transport, reports));
+    let read = late.read(&mut [0; 1]);
+    assert!(!matches!(read, Ok(count) if count > 0), "it was written");
+}
--- a/wrenseam/tests/transport.rs
+++ b/wrenseam/tests/transport.rs
@@ -69,7 +69,7 @@
         _ => LONG_TIMEOUT,
     };
     match waiting {
-        Waiting::Order => transport.order(1, 7, 1),
+        Waiting::Order => transport.order(1, 7, 1, None),
         Waiting::Attempt => {
             let limits = AttemptLimits::with_timeout(answer_timeout);
             transport.send(FIRST, &request, limits);
@@ -379,7 +379,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("bound");
     let (mut transport, _reports) = transport(address, |_| {});
-    transport.order(1, 7, 1);
+    transport.order(1, 7, 1, None);
     let (mut stream, _) = listener.accept().expect("a connection");
     stream.read_exact(&mut [0; 52]).expect("the order");
     transport.abandon_order(1);
@@ -415,7 +415,7 @@
         (transport.connections(), transport.idle_since()),
         (usage(0, true), None)
     );
-    transport.order(1, 7, 1);
+    transport.order(1, 7, 1, None);
     let (mut stream, _) = listener.accept().expect("a connection");
     let mut frame = [0; 52];
     stream.read_exact(&mut frame).expect("the order");
@@ -447,7 +447,7 @@
         ),
         (usage(0, true), 0)
     );
-    transport.order(2, 7, 1);
+    transport.order(2, 7, 1, None);
     listener
         .accept()
         .expect("another connection")
--- a/wrenseam/tests/worker_table.rs
+++ b/wrenseam/tests/worker_table.rs
@@ -71,7 +71,13 @@
         self.connections == 0
     }
 
-    fn order(&mut self, _order: u64, _function: FunctionId, _copies: u32) {
+    fn order(
+        &mut self,
+        _order: u64,
+        _function: FunctionId,
+        _copies: u32,
+        _start_deadline: Option<Instant>,
+    ) {
         self.note("order");
     }
 
