Exclusions: no poll takes a reversible change, and an unreadable file lifts none

Cause: an exclude writes its id to the file, asks the core and takes the id out again where no worker has it; a poll of the file in between (front/admin/handover.rs, watch) handed the unknown id to the core. Looking for the incident's class of fault beside it (what cannot be learnt taken for news that nothing is so): read_exclusions and the two reads of the active process's file took a failed read (short of descriptors, say) for an empty or missing file, which lifts every exclusion, or has two processes send to workers in slow start.

Change: commands are counted as they begin and end, and a poll during one is made again later; a read that fails for another reason than that there is no file changes nothing and is logged. A process that cannot read who is active at its start waits as if there were one.

Ruled out: a lock round the command (a busy core would hold up the other callers for 0.8 s each).

Measured: two new tests in exclusions.rs: a poll inside a running command takes nothing, and a file that cannot be read is no empty one.

--- a/wrenseam/src/front/admin/handover.rs
+++ b/wrenseam/src/front/admin/handover.rs
@@ -1,8 +1,8 @@
 //! Watches what the processes of one front end tell each other in `$TMPDIR`: the excluded ids, and which process is the
 //! active one.
-use super::exclusions::{exclusions_path, read_exclusions};
-use super::file::write_atomically;
-use crate::front::messages::{standby_changed, HandoverContent};
+use super::exclusions::exclusions_path;
+use super::file::{read_if_there, write_atomically};
+use crate::front::messages::{handover_not_read, standby_changed, HandoverContent};
 use crate::front::ListenerContext;
 use crate::handover::Handover;
 use crate::net::sleep;
@@ -28,7 +28,14 @@
             .filter(char::is_ascii_alphanumeric)
             .collect();
         let path = std::env::temp_dir().join(format!("wrenseam-process-{name}"));
-        let previous = std::fs::read_to_string(&path).ok();
+        // One that cannot be read may name another process.
+        let previous = read_if_there(&path).unwrap_or_else(|error| {
+            note!(
+                "{}",
+                handover_not_read(HandoverContent::ActiveProcess, &error)
+            );
+            Some(String::new())
+        });
         let process = format!("{}-{seed:x}", std::process::id());
         let handover = Handover::new(process, previous.as_deref());
         write_atomically(&path, handover.process(), HandoverContent::ActiveProcess);
@@ -40,10 +47,20 @@
         self.handover.is_standby()
     }
 
-    /// Reads the file; whether this process is on standby now, where that has changed.
+    /// Reads the file; whether this process is on standby now, where that has changed. One that cannot be read changes
+    /// nothing.
     fn poll(&mut self) -> Option<bool> {
         let was_standby = self.is_standby();
-        let active = std::fs::read_to_string(&self.path).ok();
+        let active = match read_if_there(&self.path) {
+            Ok(active) => active,
+            Err(error) => {
+                note!(
+                    "{}",
+                    handover_not_read(HandoverContent::ActiveProcess, &error)
+                );
+                return None;
+            }
+        };
         let is_standby = self.handover.observe(active.as_deref());
         (is_standby != was_standby).then_some(is_standby)
     }
@@ -60,8 +77,14 @@
             note!("{}", standby_changed(is_standby));
             let _ = context.core.send(Message::Standby(is_standby)); // seen below if the core has ended
         }
-        let ids = read_exclusions(&path);
-        if sent.as_ref() != Some(&ids) {
+        let ids = match context.exclusion_commands.read_settled(&path) {
+            Ok(ids) => ids.filter(|ids| sent.as_ref() != Some(ids)),
+            Err(error) => {
+                note!("{}", handover_not_read(HandoverContent::Exclusions, &error));
+                None
+            }
+        };
+        if let Some(ids) = ids {
             let message = Message::Exclusions(ids.clone());
             if context.core.send(message).is_err() {
                 return;
--- a/wrenseam/src/front/admin/mod.rs
+++ b/wrenseam/src/front/admin/mod.rs
@@ -8,7 +8,10 @@
 mod reply;
 
 pub use command::CommandError;
-pub use exclusions::{exclusions_path, read_exclusions, update_exclusions, write_exclusions};
+pub use exclusions::{
+    exclusions_path, read_exclusions, update_exclusions, write_exclusions, ExclusionCommands,
+    RunningCommand,
+};
 pub use handover::{watch, ActiveProcess, POLL_INTERVAL};
 pub use line::{ReadLineError, MAX_LINE_LENGTH, READ_TIMEOUT};
 pub use reply::{render, AdminError};
@@ -85,6 +88,7 @@
 fn execute(line: &str, context: &ListenerContext) -> Result<AdminReply, AdminError> {
     match AdminCommand::parse(line)? {
         command @ (AdminCommand::Exclude(_) | AdminCommand::Include(_)) => {
+            let _running = context.exclusion_commands.begin();
             update_exclusions(&exclusions_path(), command, |command| ask(context, command))
         }
         command => ask(context, command),
--- a/wrenseam/src/front/listener.rs
+++ b/wrenseam/src/front/listener.rs
@@ -1,4 +1,5 @@
 //! The listeners of all fronts: what their connections need, and how one is accepted or closed.
+use super::admin::ExclusionCommands;
 use super::messages;
 use crate::limits::Limits;
 use crate::memory_budget::MemoryBudget;
@@ -35,6 +36,8 @@
     pub unsent_bytes: Arc<AtomicUsize>,
     /// What the core publishes.
     pub process_state: Arc<ProcessState>,
+    /// The admin endpoint's commands that change the exclusions.
+    pub exclusion_commands: ExclusionCommands,
     /// Set once the listeners close.
     pub listeners_closing: Arc<AtomicBool>,
     /// Set once the process ends: each connection closes when nothing is unread, half read or pending on it.
@@ -57,6 +60,7 @@
             limits,
             unsent_bytes: Arc::default(),
             process_state,
+            exclusion_commands: ExclusionCommands::default(),
             listeners_closing: Arc::default(),
             shutting_down: Arc::default(),
             accept_loops: Arc::default(),
--- a/wrenseam/src/front/messages.rs
+++ b/wrenseam/src/front/messages.rs
@@ -124,6 +124,16 @@
     })
 }
 
+/// A file of another process could not be read.
+pub fn handover_not_read(content: HandoverContent, error: &io::Error) -> impl Display + '_ {
+    fmt::from_fn(move |f| {
+        write!(
+            f,
+            "admin: {content} not read, what was read before holds: {error}"
+        )
+    })
+}
+
 /// This process went on standby, or became the active one.
 pub fn standby_changed(is_standby: bool) -> impl Display {
     if is_standby {
--- a/wrenseam/src/server.rs
+++ b/wrenseam/src/server.rs
@@ -8,6 +8,7 @@
 use crate::discovery::watch::WatchState;
 use crate::discovery::{client, xds};
 use crate::front::admin::{self, ActiveProcess};
+use crate::front::messages::{self, HandoverContent};
 use crate::front::{self, Listener, ListenerContext};
 use crate::limits::Limits;
 use crate::model::TransportProtocol;
@@ -165,8 +166,15 @@
     /// before clients are accepted, so that exclusions hold from the first request on.
     fn read_predecessor_state(&self) -> Option<ActiveProcess> {
         self.config.admin?;
-        let excluded = admin::read_exclusions(&admin::exclusions_path());
-        let _ = self.core.send(Message::Exclusions(excluded)); // the core ends only with the process
+        match admin::read_exclusions(&admin::exclusions_path()) {
+            Ok(excluded) => {
+                let _ = self.core.send(Message::Exclusions(excluded)); // the core ends only with the process
+            }
+            Err(error) => note!(
+                "{}",
+                messages::handover_not_read(HandoverContent::Exclusions, &error)
+            ),
+        }
         let active_process = ActiveProcess::claim(&self.config.name, self.config.seed);
         if active_process.is_standby() {
             let _ = self.core.send(Message::Standby(true));
--- a/wrenseam/tests/exclusions.rs
+++ b/wrenseam/tests/exclusions.rs
@@ -1,8 +1,9 @@
 //! The file of excluded ids follows each command, whatever the core replies and whoever else writes meanwhile.
 use rstest::rstest;
 use std::collections::BTreeSet;
+use std::path::PathBuf;
 use wrenseam::front::admin::{
-    read_exclusions, render, update_exclusions, write_exclusions, AdminError,
+    read_exclusions, render, update_exclusions, write_exclusions, AdminError, ExclusionCommands,
 };
 use wrenseam::model::{AdminCommand, AdminReply};
 
@@ -34,12 +35,47 @@
     let path = std::env::temp_dir().join(name);
     write_exclusions(&path, &ids(&["a"]));
     let got = update_exclusions(&path, command, |_| {
-        let mut meanwhile = read_exclusions(&path);
+        let mut meanwhile = read_exclusions(&path).expect("read");
         meanwhile.insert("m".to_owned());
         write_exclusions(&path, &meanwhile);
         reply
     });
     assert_eq!(render(&got), answer);
-    assert_eq!(read_exclusions(&path), ids(left));
+    assert_eq!(read_exclusions(&path).expect("read"), ids(left));
+    let _ = std::fs::remove_file(&path);
+}
+
+/// A file of this test's own.
+fn path(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("wrenseam-{}-{name}", std::process::id()))
+}
+
+#[test]
+fn a_file_that_cannot_be_read_lifts_no_exclusion() {
+    let path = path("unreadable");
+    std::fs::create_dir_all(&path).expect("a folder in its place");
+    assert!(read_exclusions(&path).is_err());
+    let commands = ExclusionCommands::default();
+    assert!(commands.read_settled(&path).is_err());
+    let _ = std::fs::remove_dir(&path);
+    assert_eq!(read_exclusions(&path).expect("there is none"), ids(&[]));
+}
+
+#[test]
+fn a_poll_takes_no_change_of_a_command_that_is_running() {
+    let path = path("running");
+    write_exclusions(&path, &ids(&["a"]));
+    let commands = ExclusionCommands::default();
+    let exclude = AdminCommand::Exclude("nobody".into());
+    let running = commands.begin();
+    let reply = update_exclusions(&path, exclude, |_| {
+        assert_eq!(commands.read_settled(&path).expect("read"), None);
+        Ok(AdminReply::UnknownWorker("nobody".into()))
+    });
+    assert_eq!(render(&reply), "NO unknown nobody\n");
+    assert_eq!(commands.read_settled(&path).expect("read"), None);
+    drop(running);
+    let settled = commands.read_settled(&path).expect("read");
+    assert_eq!(settled, Some(ids(&["a"])));
     let _ = std::fs::remove_file(&path);
 }
--- a/wrenseam/tests/golden_handover.rs
+++ b/wrenseam/tests/golden_handover.rs
@@ -115,7 +115,10 @@
 
 #[test]
 fn exclusions_are_read_from_the_fixture() {
-    assert_eq!(read_exclusions(&fixture(EXCLUDED_FILE)), excluded_workers());
+    assert_eq!(
+        read_exclusions(&fixture(EXCLUDED_FILE)).expect("read"),
+        excluded_workers()
+    );
     assert_eq!(exclusions_path(), std::env::temp_dir().join(EXCLUDED_FILE));
 }
 
