Restarts that discovery cannot report are inferred from earlier refusals too

Seen by a test of the incident's related paths: a worker crashed 1 s into an outage and was back 2 s later; once its start counted as told it got 44 calls in a second, where a cold worker of its size bears 34 (rule `failback`; stalled service, code before).

Cause: refusals were taken for the end of a process only once the list's word had run out (ReadinessLeases::doubted is passed over in contact), which a service that falls silent delays to 4 s; the worker had been back by then and was taken for the process before.

Change: a refused connection is noted with its time whenever it is seen (Writer::connect reports it); if the list is not confirmed after that time, the worker is suspended when contact turns out to be lost, asked at once, and resumed as a new process.

Ruled out: the same for resets and time-outs (connections break and fail to come up under a living process), and for refusals that the list has outlived (it has told of a restart by then).

Measured: the new process test fails before in one of its two cases and passes; 25 tests of the leases pass.

--- a/policy/src/readiness_lease.rs
+++ b/policy/src/readiness_lease.rs
@@ -165,6 +165,8 @@
     /// Statements of before this time do not count: it turned new work away then.
     not_accepting_at: Micros,
     may_have_restarted: bool,
+    /// When it last refused a connection, until that has been taken into account.
+    refused_at: Option<Micros>,
     /// A check is wanted at once.
     is_in_doubt: bool,
     next_check_at: Micros,
@@ -175,10 +177,11 @@
         self.last_used_at > 0 && now < self.last_used_at + IN_USE_FOR
     }
 
-    /// Forgets what belongs to a loss of contact.
-    fn contact_regained(&mut self) {
+    /// Forgets what belongs to a loss of contact: discovery has reported all that had happened at `at`.
+    fn contact_regained(&mut self, at: Micros) {
         *self = WorkerRecord {
             last_used_at: self.last_used_at,
+            refused_at: self.refused_at.filter(|&refused_at| refused_at > at),
             ..WorkerRecord::default()
         };
     }
@@ -265,7 +268,7 @@
                     may_have_restarted: false,
                 });
             }
-            record.contact_regained();
+            record.contact_regained(at);
         }
         actions
     }
@@ -311,6 +314,13 @@
         })
     }
 
+    /// A worker's address refused a connection: its process has ended, and what answers there next may be another.
+    pub fn refused(&mut self, worker: &str, now: Micros) {
+        if let Some(record) = self.workers.get_mut(worker) {
+            record.refused_at = Some(now);
+        }
+    }
+
     /// A worker turned work away, or a connection to it failed or broke: it drains, is full, or is gone.
     pub fn doubted(&mut self, worker: &str, now: Micros) {
         if !self.is_out_of_contact(now) {
@@ -361,7 +371,8 @@
             return Vec::new();
         }
         self.choose_kept(now);
-        let mut actions = self.suspend_ended(now);
+        let mut actions = self.suspend_refused(now);
+        actions.extend(self.suspend_ended(now));
         if self.may_check {
             actions.extend(self.checks_due(now));
         }
@@ -393,6 +404,27 @@
         }
     }
 
+    /// Suspends the workers that refused a connection since discovery was last heard, until they answer again.
+    fn suspend_refused(&mut self, now: Micros) -> Vec<LeaseAction> {
+        let mut actions = Vec::new();
+        for (worker, record) in &mut self.workers {
+            if record.refused_at.take().is_none() {
+                continue;
+            }
+            record.may_have_restarted = true;
+            record.not_accepting_at = now;
+            record.is_in_doubt = true;
+            let reason = SuspendReason::Refused;
+            if record.suspended.replace(reason).is_none() {
+                actions.push(LeaseAction::Suspend {
+                    worker: worker.clone(),
+                    reason,
+                });
+            }
+        }
+        actions
+    }
+
     fn suspend_ended(&mut self, now: Micros) -> Vec<LeaseAction> {
         let mut actions = Vec::new();
         for (worker, record) in &mut self.workers {
--- a/policy/tests/readiness_lease.rs
+++ b/policy/tests/readiness_lease.rs
@@ -168,6 +168,27 @@
     assert_eq!(resumed, Some(resume("a", may_have_restarted)));
 }
 
+#[rstest]
+#[case::after_the_last_confirmation(START + SECOND, true)]
+#[case::before_it(START - SECOND, false)]
+fn a_refusal_since_discovery_was_heard_is_taken_for_a_restart(
+    #[case] refused_at: Micros,
+    #[case] may_have_restarted: bool,
+) {
+    let mut leases = leases(true, &["a"]);
+    leases.refused("a", refused_at);
+    assert_eq!(leases.list_confirmed(START), []);
+    assert_eq!(leases.review(START + 2 * SECOND), []);
+    let now = START + TOLD_AFTER;
+    let actions = leases.review(now);
+    let suspended = actions.contains(&suspend("a", SuspendReason::Refused));
+    assert_eq!(suspended, may_have_restarted);
+    assert!(actions.contains(&LeaseAction::Check("a".to_owned())));
+    let later = now + MILLISECOND;
+    let resumed = leases.check_ended("a", later, HealthCheckResult::Accepting, later);
+    assert_eq!(resumed, may_have_restarted.then(|| resume("a", true)));
+}
+
 #[test]
 fn a_worker_that_was_out_of_sight_is_resumed_as_a_new_process() {
     let mut leases = leases(true, &["a"]);
--- a/wrenseam/src/core/messages.rs
+++ b/wrenseam/src/core/messages.rs
@@ -27,7 +27,9 @@
                 replicas,
             } => self.end_load_order(order, outcome, replicas),
             Message::HealthCheckEnded { check, result } => self.end_health_check(check, result),
-            Message::WorkerConnectionEnded { address } => self.note_connection_ended(address),
+            Message::WorkerConnectionEnded { address, refused } => {
+                self.note_connection_ended(address, refused);
+            }
             Message::EndpointUpdate {
                 source,
                 complete,
--- a/wrenseam/src/core/readiness.rs
+++ b/wrenseam/src/core/readiness.rs
@@ -142,14 +142,19 @@
         }
     }
 
-    /// A connection to the workers at this address ended.
-    pub(super) fn note_connection_ended(&mut self, address: SocketAddr) {
+    /// A connection to the workers at this address ended, or was refused.
+    pub(super) fn note_connection_ended(&mut self, address: SocketAddr, refused: bool) {
         let now = self.clock.now();
-        if !self.leases.is_out_of_contact(now) {
+        if !refused && !self.leases.is_out_of_contact(now) {
             return;
         }
         for endpoint in self.workers.endpoints() {
-            if endpoint.address == address {
+            if endpoint.address != address {
+                continue;
+            }
+            if refused {
+                self.leases.refused(&endpoint.id, now);
+            } else {
                 self.leases.doubted(&endpoint.id, now);
             }
         }
--- a/wrenseam/src/queue.rs
+++ b/wrenseam/src/queue.rs
@@ -68,6 +68,8 @@
     WorkerConnectionEnded {
         /// The worker's address.
         address: SocketAddr,
+        /// Whether it never stood, as the address refused it.
+        refused: bool,
     },
     /// A change of the endpoint list of one source.
     EndpointUpdate {
@@ -170,7 +172,18 @@
 
     /// A connection to a worker ended.
     pub fn worker_connection_ended(&self, address: SocketAddr) {
-        self.post(Message::WorkerConnectionEnded { address });
+        self.post(Message::WorkerConnectionEnded {
+            address,
+            refused: false,
+        });
+    }
+
+    /// A worker's address refused a connection.
+    pub fn worker_connection_refused(&self, address: SocketAddr) {
+        self.post(Message::WorkerConnectionEnded {
+            address,
+            refused: true,
+        });
     }
 
     /// A source's endpoint list changed.
--- a/wrenseam/src/worker/frames/writer.rs
+++ b/wrenseam/src/worker/frames/writer.rs
@@ -90,6 +90,7 @@
         let stream = connected.inspect_err(|error| {
             if error.kind() == io::ErrorKind::ConnectionRefused {
                 self.state.set_refused();
+                self.reports.worker_connection_refused(self.address);
             }
         })?;
         stream.set_nodelay(true)?;
--- a/wrenseam/tests/discovery_outage.rs
+++ b/wrenseam/tests/discovery_outage.rs
@@ -2,8 +2,8 @@
 mod platform;
 
 use platform::{
-    late_arrivals, wait_until, ClientSettings, Clients, Deployment, DiscoveryService, EventLog,
-    FrontEnd, FrontEndSettings, Outage, StandInWorker, Told,
+    cold_overload, late_arrivals, wait_until, ClientSettings, Clients, Deployment,
+    DiscoveryService, EventLog, FrontEnd, FrontEndSettings, Outage, StandInWorker, Told,
 };
 use rstest::rstest;
 use std::time::{Duration, Instant};
@@ -176,3 +176,34 @@
     let late = late_arrivals(&platform.workers, |_| told, platform.start);
     assert!(late.is_empty(), "{} late: {late:#?}", late.len());
 }
+
+#[rstest]
+#[case::refused(Outage::Refused)]
+#[case::stalled(Outage::Stalled)]
+fn a_worker_whose_restart_discovery_cannot_report_is_not_overloaded_while_it_is_cold(
+    #[case] outage: Outage,
+) {
+    const QUOTA_PER_S: u64 = 80;
+    let mut platform = Platform::start(Deployment {
+        quota_per_s: QUOTA_PER_S,
+        ..Deployment::default()
+    });
+    platform.discovery.interrupt(outage);
+    std::thread::sleep(Duration::from_secs(1));
+    let worker = platform.busiest(1).remove(0);
+    worker.stop();
+    std::thread::sleep(Duration::from_secs(2));
+    worker.restart();
+    std::thread::sleep(Duration::from_secs(11));
+    platform.clients.stop();
+    let told_at = worker.starts()[0] + Duration::from_millis(TOLD_AFTER_MS);
+    let capacity_per_s = QUOTA_PER_S as f64 / WORKERS as f64;
+    let overload = cold_overload(&worker, told_at, capacity_per_s);
+    assert!(
+        overload.is_none(),
+        "calls in a second, allowed: {overload:?}"
+    );
+    for front_end in &platform.front_ends {
+        assert_eq!(front_end.figure("app.members_suspended"), Some(0));
+    }
+}
--- a/wrenseam/tests/platform/mod.rs
+++ b/wrenseam/tests/platform/mod.rs
@@ -17,9 +17,9 @@
     client::{ClientSettings, Clients, RequestOutcome, RequestRecord},
     discovery::{DiscoveryService, EventLog, Outage},
     front_end::{FrontEnd, FrontEndSettings},
-    rules::{late_arrivals, repeats, Told},
+    rules::{cold_overload, late_arrivals, repeats, Told},
     settings::{Deployment, FUNCTIONS},
-    worker::{ArrivalKind, Drain, StandInWorker},
+    worker::{Arrival, ArrivalKind, Drain, StandInWorker},
 };
 
 use std::net::{IpAddr, Ipv4Addr};
--- a/wrenseam/tests/platform/rules.rs
+++ b/wrenseam/tests/platform/rules.rs
@@ -8,6 +8,12 @@
 /// Each time limit on sockets is so much longer.
 const SLACK: Duration = Duration::from_millis(50);
 
+/// The rule on cold workers, as the deployment's settings give it.
+const COLD_FROM: f64 = 0.2;
+const FALL_MULTIPLE: f64 = 2.0;
+const OVERLOAD_WINDOW: Duration = Duration::from_secs(1);
+const WARM_WITHIN: Duration = Duration::from_secs(12);
+
 /// When drains count as told and how long work may still be sent then.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Told {
@@ -81,3 +87,34 @@
         .map(|(id, zones)| format!("call {id:016x} taken in {zones:?}"))
         .collect()
 }
+
+/// The most calls that came in any second to a worker's last process, once its start counts as told, and what the rule on
+/// cold workers allows in that second, where the first is beyond the second. `capacity_per_s` is what the worker can do
+/// once it is warm.
+pub(crate) fn cold_overload(
+    worker: &StandInWorker,
+    told_at: Instant,
+    capacity_per_s: f64,
+) -> Option<(usize, f64)> {
+    let start = *worker.starts().last()?;
+    let arrivals = worker.arrivals();
+    let calls: Vec<Duration> = arrivals
+        .iter()
+        .filter(|arrival| arrival.at >= told_at && arrival.kind != ArrivalKind::LoadOrder)
+        .map(|arrival| arrival.at - start)
+        .filter(|age| *age < WARM_WITHIN)
+        .collect();
+    calls
+        .iter()
+        .enumerate()
+        .map(|(first, &begin)| {
+            let end = begin + OVERLOAD_WINDOW;
+            let count = calls[first..].iter().filter(|age| **age < end).count();
+            let warm_part = end.as_secs_f64() / WARM_WITHIN.as_secs_f64();
+            let share = COLD_FROM + (1.0 - COLD_FROM) * warm_part.min(1.0);
+            let requests = FALL_MULTIPLE * share * capacity_per_s * OVERLOAD_WINDOW.as_secs_f64();
+            (count, requests + 3.0 * requests.sqrt() + 3.0)
+        })
+        .filter(|(count, allowed)| *count as f64 > *allowed)
+        .max_by_key(|(count, _)| *count)
+}
--- a/wrenseam/tests/soak.rs
+++ b/wrenseam/tests/soak.rs
@@ -5,8 +5,9 @@
 mod platform;
 
 use platform::{
-    late_arrivals, repeats, ClientSettings, Clients, Deployment, DiscoveryService, Drain, EventLog,
-    FrontEnd, FrontEndSettings, Outage, RequestOutcome, RequestRecord, StandInWorker, Told,
+    cold_overload, late_arrivals, repeats, ClientSettings, Clients, Deployment, DiscoveryService,
+    Drain, EventLog, FrontEnd, FrontEndSettings, Outage, RequestOutcome, RequestRecord,
+    StandInWorker, Told,
 };
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -21,6 +22,8 @@
 const WORK: Duration = Duration::from_millis(15);
 /// Requests on open connections come so long after SIGTERM, and count as taken when the process is killed.
 const TAKEN_AFTER_TERM: Duration = Duration::from_millis(700);
+/// What discovery has to tell counts as told so long after it happened.
+const TOLD_AFTER: Duration = Duration::from_secs(7);
 /// The longest deadline that the platform counts.
 const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
 /// A request that crosses the close of a resting connection within this may be sent again.
@@ -453,6 +456,17 @@
                 .into_iter()
                 .map(|what| format!("duplicate: {what}")),
         );
+        let capacity_per_s = self.plan.deployment.quota_per_s as f64 / self.workers.len() as f64;
+        for worker in &self.workers {
+            let Some(&start) = worker.starts().last() else {
+                continue;
+            };
+            if let Some((calls, allowed)) =
+                cold_overload(worker, start + TOLD_AFTER, capacity_per_s)
+            {
+                faults.push(format!("failback: {} got {calls} of {allowed}", worker.id));
+            }
+        }
         faults.extend(self.lost().into_iter().map(|what| format!("lost: {what}")));
         for (index, front_end) in self.front_ends.iter_mut().enumerate() {
             let is_ending = self
