--- a/wrenseam/src/core/readiness.rs
+++ b/wrenseam/src/core/readiness.rs
@@ -54,9 +54,12 @@
         self.apply_lease_actions(actions);
     }
 
-    /// When new work must have been started at a worker at the latest.
-    pub(super) fn lease_end(&self, worker: &str) -> Option<Instant> {
+    /// When new work must have been started at a worker at the latest. One whose lease has ended is suspended.
+    pub(super) fn lease_end(&mut self, worker: &str) -> Option<Instant> {
         let ends_at = self.leases.ends_at(worker)?;
+        if ends_at <= self.clock.now() {
+            self.review_leases();
+        }
         Some(self.clock.instant(ends_at))
     }
 
--- a/wrenseam/tests/discovery_outage.rs
+++ b/wrenseam/tests/discovery_outage.rs
@@ -2,7 +2,7 @@
 mod platform;
 
 use platform::{
-    cold_overload, late_arrivals, wait_until, ClientSettings, Clients, Deployment,
+    cold_overload, late_arrivals, start_workers, wait_until, ClientSettings, Clients, Deployment,
     DiscoveryService, EventLog, FrontEnd, FrontEndSettings, Outage, StandInWorker, Told,
 };
 use rstest::rstest;
@@ -36,15 +36,7 @@
 
 impl Platform {
     fn start(deployment: Deployment) -> Platform {
-        let workers: Vec<StandInWorker> = (0..WORKERS)
-            .map(|number| StandInWorker::start(number, WORK))
-            .collect();
-        let log = EventLog::default();
-        let ready: Vec<String> = workers
-            .iter()
-            .map(|worker| worker.instance("ready"))
-            .collect();
-        log.publish(&ready);
+        let (workers, log) = start_workers(WORKERS, WORK);
         let discovery = DiscoveryService::start(&log);
         let mut clients = Clients::new(1);
         let mut front_ends = Vec::new();
--- a/wrenseam/tests/platform/mod.rs
+++ b/wrenseam/tests/platform/mod.rs
@@ -29,6 +29,20 @@
 /// Time between two looks at a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Starts so many workers, and a log of events whose first lists them.
+pub(crate) fn start_workers(count: usize, work: Duration) -> (Vec<StandInWorker>, EventLog) {
+    let workers: Vec<StandInWorker> = (0..count)
+        .map(|number| StandInWorker::start(number, work))
+        .collect();
+    let log = EventLog::default();
+    let instances: Vec<String> = workers
+        .iter()
+        .map(|worker| worker.instance("ready"))
+        .collect();
+    log.publish(&instances);
+    (workers, log)
+}
+
 /// Waits until a condition holds; fails the test if it does not within this time.
 pub(crate) fn wait_until(what: &str, within: Duration, condition: impl Fn() -> bool) {
     let since = Instant::now();
--- a/wrenseam/tests/soak.rs
+++ b/wrenseam/tests/soak.rs
@@ -5,9 +5,9 @@
 mod platform;
 
 use platform::{
-    cold_overload, late_arrivals, repeats, ClientSettings, Clients, Deployment, DiscoveryService,
-    Drain, EventLog, FrontEnd, FrontEndSettings, Outage, RequestOutcome, RequestRecord,
-    StandInWorker, Told,
+    cold_overload, late_arrivals, repeats, start_workers, ClientSettings, Clients, Deployment,
+    DiscoveryService, Drain, EventLog, FrontEnd, FrontEndSettings, Outage, RequestOutcome,
+    RequestRecord, StandInWorker, Told,
 };
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -33,7 +33,7 @@
 /// The part of all requests that is served at the least.
 const LEAST_SERVED: f64 = 1.0 / 3.0;
 /// Soaks that run at once in the long run.
-const AT_ONCE: usize = 6;
+const AT_ONCE: usize = 10;
 
 /// What happens at a time.
 #[derive(Clone, Debug)]
@@ -111,14 +111,15 @@
             pause: Duration::from_millis(if is_crowded { 100 } else { 50 }),
             steps: Vec::new(),
         };
-        plan.draw_outages(&mut dice);
-        plan.draw_workers(&mut dice);
+        let outage = plan.draw_outage(&mut dice);
+        plan.draw_workers(&mut dice, outage);
         plan.draw_signals(&mut dice);
         plan.steps.sort_by_key(|(at, _)| *at);
         plan
     }
 
-    fn draw_outages(&mut self, dice: &mut Dice) {
+    /// When the outage begins.
+    fn draw_outage(&mut self, dice: &mut Dice) -> Duration {
         let outage = [
             Outage::Refused,
             Outage::Silent,
@@ -126,22 +127,31 @@
             Outage::CutShort,
         ][dice.below(4) as usize];
         let begin = dice.ms(500..5_000);
-        let length = dice.ms(3_000..18_000);
+        let length = if dice.one_in(2) {
+            dice.ms(3_000..12_000)
+        } else {
+            dice.ms(12_000..18_000)
+        };
         self.steps.push((begin, Step::Interrupt(outage)));
         self.steps.push((begin + length, Step::Restore));
+        begin
     }
 
-    /// At most half of the workers drain or crash, each once.
-    fn draw_workers(&mut self, dice: &mut Dice) {
+    /// At most half of the workers drain or crash, each once; many just after the outage has begun.
+    fn draw_workers(&mut self, dice: &mut Dice, outage: Duration) {
         let troubled = dice.in_range(1..self.workers as u32 / 2 + 1);
         for worker in 0..troubled as usize {
-            let begin = dice.ms(500..8_000);
+            let begin = if dice.one_in(2) {
+                dice.ms(500..8_000)
+            } else {
+                outage + dice.ms(0..1_500)
+            };
             let is_crash = dice.one_in(3);
             let stop = if is_crash {
                 begin
             } else {
                 self.steps.push((begin, Step::Drain(worker)));
-                begin + dice.ms(8_000..14_000)
+                begin + dice.ms(9_000..15_000)
             };
             self.steps.push((stop, Step::Stop(worker)));
             self.steps
@@ -218,15 +228,7 @@
 
 impl Soak {
     fn start(plan: Plan) -> Soak {
-        let workers: Vec<StandInWorker> = (0..plan.workers)
-            .map(|number| StandInWorker::start(number, WORK))
-            .collect();
-        let log = EventLog::default();
-        let ready: Vec<String> = workers
-            .iter()
-            .map(|worker| worker.instance("ready"))
-            .collect();
-        log.publish(&ready);
+        let (workers, log) = start_workers(plan.workers, WORK);
         let discovery = [DiscoveryService::start(&log), DiscoveryService::start(&log)];
         let mut clients = Clients::new(plan.seed << 16);
         let mut front_ends = Vec::new();
@@ -507,7 +509,7 @@
 }
 
 #[rstest]
-fn rules_hold_under_outages_drains_restarts_and_signals(#[values(1, 2, 3, 4)] seed: u64) {
+fn rules_hold_under_outages_drains_restarts_and_signals(#[values(3, 10, 12, 16)] seed: u64) {
     let faults = soak(seed);
     assert!(faults.is_empty(), "seed {seed}: {faults:#?}");
 }
