--- a/policy/src/readiness_lease.rs
+++ b/policy/src/readiness_lease.rs
@@ -1,8 +1,8 @@
 //! Readiness leases: how long what is known of a worker's readiness may be acted on.
 //!
-//! The endpoint list states what discovery knew when it was last heard. A drain that it could not report counts as
+//! The endpoint list states what discovery knew when it last responded. A drain that it could not report counts as
 //! reported after a fixed span all the same, so each statement is a lease that ends before that. Discovery renews the
-//! leases of all workers whenever it is heard. While it is not, a worker renews its own by taking new work or by
+//! leases of all workers whenever it responds. While it is not, a worker renews its own by taking new work or by
 //! answering a health check, and one whose lease has ended is suspended: it gets nothing new until it answers.
 //!
 //! Health checks go to the workers in use when contact is lost, and to some more. What discovery cannot report of a
@@ -20,7 +20,7 @@
 const REPORTED_AFTER: Micros = 7 * SECOND;
 /// What happened before a connection broke counts as reported so long after the break, ...
 const REPORTED_AFTER_BREAK: Micros = 2 * SECOND;
-/// ... before it fell silent, so long after the last that was heard, ...
+/// ... before it fell silent, so long after the last response, ...
 const REPORTED_AFTER_SILENCE: Micros = 4 * SECOND;
 /// ... and before discovery moved, so long after the signal.
 const REPORTED_AFTER_MOVE: Micros = 4 * SECOND;
@@ -236,7 +236,7 @@
         }
     }
 
-    /// Whether so much time has passed since discovery was last heard that workers are asked themselves.
+    /// Whether so much time has passed since discovery last responded that workers are asked themselves.
     pub fn is_out_of_contact(&self, now: Micros) -> bool {
         self.is_followed && now + CHECK_LEAD + CHECK_LEAD_SPREAD >= self.list.ends_at + self.grace
     }
@@ -404,7 +404,7 @@
         }
     }
 
-    /// Suspends the workers that refused a connection since discovery was last heard, until they answer again.
+    /// Suspends the workers that refused a connection since discovery last responded, until they answer again.
     fn suspend_refused(&mut self, now: Micros) -> Vec<LeaseAction> {
         let mut actions = Vec::new();
         for (worker, record) in &mut self.workers {
--- a/policy/tests/readiness_lease.rs
+++ b/policy/tests/readiness_lease.rs
@@ -12,8 +12,8 @@
 const SECOND: Micros = 1_000 * MILLISECOND;
 /// Any time at which a front end starts.
 const START: Micros = 1_000 * SECOND;
-/// The protocol page: what is not heard counts as told so long after it happened.
-const TOLD_AFTER: Micros = 7 * SECOND;
+/// The protocol page: what is not received counts as notified so long after it happened.
+const NOTIFIED_AFTER: Micros = 7 * SECOND;
 const GRACE: Micros = 500 * MILLISECOND;
 const REVIEW: Micros = 100 * MILLISECOND;
 
@@ -65,7 +65,7 @@
 }
 
 #[test]
-fn workers_are_left_alone_while_discovery_is_heard() {
+fn workers_are_left_alone_while_discovery_responds() {
     let mut leases = leases(true, &["a", "b"]);
     for now in (START..START + 100 * SECOND).step_by(REVIEW as usize) {
         if now % (5 * SECOND) == 0 {
@@ -76,33 +76,33 @@
 }
 
 #[rstest]
-#[case::never_heard_again(None, 7)]
+#[case::no_further_response(None, 7)]
 #[case::nobody_answers(Some(Interruption::Unreachable), 7)]
 #[case::broken(Some(Interruption::Broken), 3)]
 #[case::silent(Some(Interruption::Silent), 5)]
 #[case::moved(Some(Interruption::Moved), 5)]
-fn unconfirmed_workers_are_suspended_before_a_drain_counts_as_told(
+fn unconfirmed_workers_are_suspended_before_a_drain_counts_as_notified(
     #[case] interruption: Option<Interruption>,
-    #[case] told_at_s: u64,
+    #[case] notified_at_s: u64,
 ) {
     let mut leases = leases(false, &["a"]);
     if let Some(cause) = interruption {
         leases.interrupted(START + SECOND, cause);
     }
     let suspended_at = first(&mut leases, START + 20 * SECOND, is_suspension).expect("suspended");
-    let told_at = START + told_at_s * SECOND;
-    assert!((told_at..told_at + GRACE).contains(&suspended_at));
+    let notified_at = START + notified_at_s * SECOND;
+    assert!((notified_at..notified_at + GRACE).contains(&suspended_at));
     assert_eq!(leases.suspended(), 1);
 }
 
 #[test]
-fn a_process_that_takes_over_is_told_sooner() {
+fn a_process_that_takes_over_is_notified_sooner() {
     let mut leases = ReadinessLeases::new(&settings(false), 7);
     leases.follow(START, true);
     leases.listed("a", true);
     let suspended_at = first(&mut leases, START + 20 * SECOND, is_suspension).expect("suspended");
-    let told_at = START + 2 * SECOND;
-    assert!((told_at..told_at + GRACE).contains(&suspended_at));
+    let notified_at = START + 2 * SECOND;
+    assert!((notified_at..notified_at + GRACE).contains(&suspended_at));
 }
 
 #[test]
@@ -138,14 +138,14 @@
     let check = LeaseAction::Check("a".to_owned());
     let is_check = |action: &LeaseAction| *action == check;
     let checked_at = first(&mut leases, START + 20 * SECOND, is_check).expect("checked");
-    assert!(checked_at < START + TOLD_AFTER);
+    assert!(checked_at < START + NOTIFIED_AFTER);
     let expected = reason.map(|reason| suspend("a", reason));
     let answered_at = checked_at + MILLISECOND;
     assert_eq!(
         leases.check_ended("a", checked_at, result, answered_at),
         expected
     );
-    let later = leases.review(START + TOLD_AFTER + GRACE);
+    let later = leases.review(START + NOTIFIED_AFTER + GRACE);
     let has_ended = later.contains(&suspend("a", SuspendReason::LeaseEnded));
     assert_eq!(has_ended, result == HealthCheckResult::Unreachable);
 }
@@ -159,7 +159,7 @@
     #[case] may_have_restarted: bool,
 ) {
     let mut leases = leases(true, &["a"]);
-    let mut now = START + TOLD_AFTER;
+    let mut now = START + NOTIFIED_AFTER;
     for &result in results {
         let _ = leases.check_ended("a", now, result, now);
         now += SECOND;
@@ -171,7 +171,7 @@
 #[rstest]
 #[case::after_the_last_confirmation(START + SECOND, true)]
 #[case::before_it(START - SECOND, false)]
-fn a_refusal_since_discovery_was_heard_is_taken_for_a_restart(
+fn a_refusal_since_the_last_confirmation_is_taken_for_a_restart(
     #[case] refused_at: Micros,
     #[case] may_have_restarted: bool,
 ) {
@@ -179,7 +179,7 @@
     leases.refused("a", refused_at);
     assert_eq!(leases.list_confirmed(START), []);
     assert_eq!(leases.review(START + 2 * SECOND), []);
-    let now = START + TOLD_AFTER;
+    let now = START + NOTIFIED_AFTER;
     let actions = leases.review(now);
     let suspended = actions.contains(&suspend("a", SuspendReason::Refused));
     assert_eq!(suspended, may_have_restarted);
@@ -192,7 +192,7 @@
 #[test]
 fn a_worker_that_was_out_of_sight_is_resumed_as_a_new_process() {
     let mut leases = leases(true, &["a"]);
-    let mut now = START + TOLD_AFTER + GRACE;
+    let mut now = START + NOTIFIED_AFTER + GRACE;
     assert!(leases
         .review(now)
         .contains(&suspend("a", SuspendReason::LeaseEnded)));
@@ -204,7 +204,7 @@
 #[test]
 fn answers_to_what_was_sent_before_do_not_count() {
     let mut leases = leases(true, &["a", "b"]);
-    let now = START + TOLD_AFTER;
+    let now = START + NOTIFIED_AFTER;
     let not_accepting = HealthCheckResult::NotAccepting;
     let suspended = suspend("a", SuspendReason::NotAccepting);
     assert_eq!(
@@ -228,7 +228,7 @@
 #[test]
 fn a_worker_in_doubt_is_checked_at_once() {
     let mut leases = leases(true, &["a"]);
-    let mut now = START + TOLD_AFTER;
+    let mut now = START + NOTIFIED_AFTER;
     leases.review(now);
     let _ = leases.check_ended("a", now, HealthCheckResult::Accepting, now);
     now += SECOND;
@@ -315,19 +315,19 @@
     ]
 }
 
-/// When what happened at `happened_at` counts as told, by the pages' clocks.
-fn told_at(happened_at: Micros, interruptions: &[(Micros, Interruption)]) -> Micros {
+/// When what happened at `happened_at` counts as notified, by the pages' clocks.
+fn notified_at(happened_at: Micros, interruptions: &[(Micros, Interruption)]) -> Micros {
     let by_interruption = interruptions
         .iter()
         .filter(|(at, _)| happened_at < *at)
         .map(|(at, cause)| match cause {
             Interruption::Broken => at + 2 * SECOND,
             Interruption::Silent | Interruption::Moved => at + 4 * SECOND,
-            Interruption::Unreachable => at + TOLD_AFTER,
+            Interruption::Unreachable => at + NOTIFIED_AFTER,
         })
         .min();
-    let by_age = happened_at + TOLD_AFTER;
-    by_interruption.map_or(by_age, |told_at| told_at.min(by_age))
+    let by_age = happened_at + NOTIFIED_AFTER;
+    by_interruption.map_or(by_age, |notified_at| notified_at.min(by_age))
 }
 
 /// A random run, given how each check ends.
@@ -382,7 +382,7 @@
             }
         }
         for (worker, drained_at) in &drained {
-            let last = told_at(*drained_at, &interruptions) + GRACE;
+            let last = notified_at(*drained_at, &interruptions) + GRACE;
             let is_kept = now <= last || !usable.contains(worker);
             prop_assert!(is_kept, "{worker}: last {last}, now {now}");
         }
@@ -392,7 +392,7 @@
 
 /// Whatever is lost and answered meanwhile.
 #[test]
-fn no_worker_is_usable_once_its_drain_counts_as_told_and_the_grace_is_over() {
+fn no_worker_is_usable_once_its_drain_counts_as_notified_and_the_grace_is_over() {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
     let config = Config {
         cases: 300,
--- a/wrenseam/tests/discovery_outage.rs
+++ b/wrenseam/tests/discovery_outage.rs
@@ -3,7 +3,7 @@
 
 use platform::{
     cold_overload, late_arrivals, start_workers, wait_until, ClientSettings, Clients, Deployment,
-    DiscoveryService, EventLog, FrontEnd, FrontEndSettings, Outage, StandInWorker, Told,
+    DiscoveryService, EventLog, FrontEnd, FrontEndSettings, Notified, Outage, StandInWorker,
 };
 use rstest::rstest;
 use std::time::{Duration, Instant};
@@ -16,8 +16,8 @@
 const WORK: Duration = Duration::from_millis(15);
 /// From the begin of an outage until workers drain.
 const OUTAGE_BEFORE_DRAIN: Duration = Duration::from_millis(400);
-/// What discovery has to tell counts as told so long after it happened, ms.
-const TOLD_AFTER_MS: u64 = 7_000;
+/// What discovery has to tell counts as notified so long after it happened, ms.
+const NOTIFIED_AFTER_MS: u64 = 7_000;
 /// How long workers drain before they stop.
 const DRAIN: Duration = Duration::from_secs(14);
 /// The end of a drain, in which service is measured.
@@ -106,7 +106,7 @@
 #[case::silent(Outage::Silent)]
 #[case::stalled(Outage::Stalled)]
 #[case::cut_short(Outage::CutShort)]
-fn drains_that_discovery_cannot_report_get_no_work_once_they_count_as_told(
+fn drains_that_discovery_cannot_report_get_no_work_once_they_count_as_notified(
     #[case] outage: Outage,
     #[values(3, 48)] front_ends: usize,
 ) {
@@ -125,8 +125,8 @@
     std::thread::sleep(LAST_PART);
     let served = platform.clients.served_between(since, Instant::now());
     platform.clients.stop();
-    let told = Told::unheard(platform.deployment.drain_grace_ms);
-    let late = late_arrivals(&platform.workers, |_| told, platform.start);
+    let notified = Notified::unheard(platform.deployment.drain_grace_ms);
+    let late = late_arrivals(&platform.workers, |_| notified, platform.start);
     assert!(late.is_empty(), "{} late: {late:#?}", late.len());
     assert!(
         served * 2 >= usual,
@@ -146,26 +146,26 @@
     platform.clients.stop();
     for front_end in &platform.front_ends {
         let age = front_end.figure("app.discovery.confirmed_ms_ago");
-        assert!(age.is_some_and(|age| age < TOLD_AFTER_MS), "{age:?}");
+        assert!(age.is_some_and(|age| age < NOTIFIED_AFTER_MS), "{age:?}");
     }
 }
 
 #[test]
-fn front_ends_that_stood_still_send_nothing_to_workers_whose_drains_count_as_told_meanwhile() {
+fn front_ends_that_stood_still_send_nothing_to_workers_whose_drains_count_as_notified_meanwhile() {
     let mut platform = Platform::start(Deployment::default());
     platform.discovery.interrupt(Outage::Refused);
     platform.drain(&platform.busiest(4));
     for front_end in &platform.front_ends {
         front_end.signal("-STOP");
     }
-    std::thread::sleep(Duration::from_millis(TOLD_AFTER_MS + 800));
+    std::thread::sleep(Duration::from_millis(NOTIFIED_AFTER_MS + 800));
     for front_end in &platform.front_ends {
         front_end.signal("-CONT");
     }
     std::thread::sleep(LAST_PART);
     platform.clients.stop();
-    let told = Told::unheard(platform.deployment.drain_grace_ms);
-    let late = late_arrivals(&platform.workers, |_| told, platform.start);
+    let notified = Notified::unheard(platform.deployment.drain_grace_ms);
+    let late = late_arrivals(&platform.workers, |_| notified, platform.start);
     assert!(late.is_empty(), "{} late: {late:#?}", late.len());
 }
 
@@ -188,9 +188,9 @@
     worker.restart();
     std::thread::sleep(Duration::from_secs(11));
     platform.clients.stop();
-    let told_at = worker.starts()[0] + Duration::from_millis(TOLD_AFTER_MS);
+    let notified_at = worker.starts()[0] + Duration::from_millis(NOTIFIED_AFTER_MS);
     let capacity_per_s = QUOTA_PER_S as f64 / WORKERS as f64;
-    let overload = cold_overload(&worker, told_at, capacity_per_s);
+    let overload = cold_overload(&worker, notified_at, capacity_per_s);
     assert!(
         overload.is_none(),
         "calls in a second, allowed: {overload:?}"
--- a/wrenseam/tests/health_checks.rs
+++ b/wrenseam/tests/health_checks.rs
@@ -58,7 +58,7 @@
 }
 
 #[test]
-fn a_refused_connection_and_a_broken_one_are_told_apart() {
+fn a_refused_connection_and_a_broken_one_are_distinguished() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("bound");
     let (mut transport, reports) = transport(address, |_| {});
--- a/wrenseam/tests/platform/mod.rs
+++ b/wrenseam/tests/platform/mod.rs
@@ -17,7 +17,7 @@
     client::{ClientSettings, Clients, RequestOutcome, RequestRecord},
     discovery::{DiscoveryService, EventLog, Outage},
     front_end::{FrontEnd, FrontEndSettings},
-    rules::{cold_overload, late_arrivals, repeats, Told},
+    rules::{cold_overload, late_arrivals, repeats, Notified},
     settings::{Deployment, FUNCTIONS},
     worker::{Arrival, ArrivalKind, Drain, StandInWorker},
 };
--- a/wrenseam/tests/platform/rules.rs
+++ b/wrenseam/tests/platform/rules.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-/// What discovery has to tell counts as told so long after it happened, heard or not.
-pub(crate) const TOLD_AFTER: Duration = Duration::from_secs(7);
+/// What discovery has to tell counts as notified so long after it happened, received or not.
+pub(crate) const NOTIFIED_AFTER: Duration = Duration::from_secs(7);
 /// Each time limit on sockets is so much longer.
 const SLACK: Duration = Duration::from_millis(50);
 
@@ -14,36 +14,36 @@
 const OVERLOAD_WINDOW: Duration = Duration::from_secs(1);
 const WARM_WITHIN: Duration = Duration::from_secs(12);
 
-/// When drains count as told and how long work may still be sent then.
+/// When drains count as notified and how long work may still be sent then.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Told {
+pub(crate) struct Notified {
     /// After the drain.
     pub(crate) after: Duration,
     pub(crate) grace: Duration,
 }
 
-impl Told {
-    /// The protocol page's clock for what is never heard.
-    pub(crate) fn unheard(grace_ms: u64) -> Told {
-        Told {
-            after: TOLD_AFTER,
+impl Notified {
+    /// The protocol page's clock for what is never received.
+    pub(crate) fn unheard(grace_ms: u64) -> Notified {
+        Notified {
+            after: NOTIFIED_AFTER,
             grace: Duration::from_millis(grace_ms),
         }
     }
 }
 
-/// New work that came to a draining worker after its drain counted as told and the grace was over.
+/// New work that came to a draining worker after its drain counted as notified and the grace was over.
 pub(crate) fn late_arrivals(
     workers: &[StandInWorker],
-    told: impl Fn(&Drain) -> Told,
+    notified: impl Fn(&Drain) -> Notified,
     start: Instant,
 ) -> Vec<String> {
     let mut late = Vec::new();
     for worker in workers {
         let arrivals = worker.arrivals();
         for drain in worker.drains() {
-            let told = told(&drain);
-            let last = drain.began_at + told.after + told.grace + SLACK;
+            let notified = notified(&drain);
+            let last = drain.began_at + notified.after + notified.grace + SLACK;
             let end = drain.ended_at.unwrap_or_else(Instant::now);
             for arrival in &arrivals {
                 if arrival.at > last && arrival.at < end {
@@ -88,19 +88,19 @@
         .collect()
 }
 
-/// The most calls that came in any second to a worker's last process, once its start counts as told, and what the rule on
+/// The most calls that came in any second to a worker's last process, once its start counts as notified, and what the rule on
 /// cold workers allows in that second, where the first is beyond the second. `capacity_per_s` is what the worker can do
 /// once it is warm.
 pub(crate) fn cold_overload(
     worker: &StandInWorker,
-    told_at: Instant,
+    notified_at: Instant,
     capacity_per_s: f64,
 ) -> Option<(usize, f64)> {
     let start = *worker.starts().last()?;
     let arrivals = worker.arrivals();
     let calls: Vec<Duration> = arrivals
         .iter()
-        .filter(|arrival| arrival.at >= told_at && arrival.kind != ArrivalKind::LoadOrder)
+        .filter(|arrival| arrival.at >= notified_at && arrival.kind != ArrivalKind::LoadOrder)
         .map(|arrival| arrival.at - start)
         .filter(|age| *age < WARM_WITHIN)
         .collect();
--- a/wrenseam/tests/soak.rs
+++ b/wrenseam/tests/soak.rs
@@ -6,8 +6,8 @@
 
 use platform::{
     cold_overload, late_arrivals, repeats, start_workers, ClientSettings, Clients, Deployment,
-    DiscoveryService, Drain, EventLog, FrontEnd, FrontEndSettings, Outage, RequestOutcome,
-    RequestRecord, StandInWorker, Told,
+    DiscoveryService, Drain, EventLog, FrontEnd, FrontEndSettings, Notified, Outage,
+    RequestOutcome, RequestRecord, StandInWorker,
 };
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -22,8 +22,8 @@
 const WORK: Duration = Duration::from_millis(15);
 /// Requests on open connections come so long after SIGTERM, and count as taken when the process is killed.
 const TAKEN_AFTER_TERM: Duration = Duration::from_millis(700);
-/// What discovery has to tell counts as told so long after it happened.
-const TOLD_AFTER: Duration = Duration::from_secs(7);
+/// What discovery has to tell counts as notified so long after it happened.
+const NOTIFIED_AFTER: Duration = Duration::from_secs(7);
 /// The longest deadline that the platform counts.
 const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
 /// A request that crosses the close of a resting connection within this may be sent again.
@@ -203,7 +203,7 @@
     killed_at: Instant,
 }
 
-/// A time in which drains may be told late: discovery was out of reach or moved, or a front end stood still.
+/// A time in which drains may be notified late: discovery was out of reach or moved, or a front end stood still.
 type Disturbance = Range<Instant>;
 
 /// A soak that is running.
@@ -383,18 +383,18 @@
         self.pending_kills.iter().any(is_it)
     }
 
-    /// When a drain counts as told: at once while discovery is in reach of all, else by the page's clock.
-    fn told(&self, drain: &Drain) -> Told {
+    /// When a drain counts as notified: at once while discovery is in reach of all, else by the page's clock.
+    fn notified(&self, drain: &Drain) -> Notified {
         let grace_ms = self.plan.deployment.drain_grace_ms;
         let around = Duration::from_secs(5);
         let is_disturbed = |disturbance: &Disturbance| {
             drain.began_at + around > disturbance.start && drain.began_at < disturbance.end + around
         };
-        let mut told = Told::unheard(grace_ms);
+        let mut notified = Notified::unheard(grace_ms);
         if !self.disturbances.iter().any(is_disturbed) {
-            told.after = Duration::ZERO;
+            notified.after = Duration::ZERO;
         }
-        told
+        notified
     }
 
     /// Requests that were taken and got no answer in time, though nothing excuses it.
@@ -450,8 +450,8 @@
     /// What broke a rule.
     fn faults(&mut self) -> Vec<String> {
         let mut faults = Vec::new();
-        let told = |drain: &Drain| self.told(drain);
-        let late = late_arrivals(&self.workers, told, self.start);
+        let notified = |drain: &Drain| self.notified(drain);
+        let late = late_arrivals(&self.workers, notified, self.start);
         faults.extend(late.into_iter().map(|what| format!("drain: {what}")));
         faults.extend(
             repeats(&self.workers, self.plan.deployment.effect)
@@ -464,7 +464,7 @@
                 continue;
             };
             if let Some((calls, allowed)) =
-                cold_overload(worker, start + TOLD_AFTER, capacity_per_s)
+                cold_overload(worker, start + NOTIFIED_AFTER, capacity_per_s)
             {
                 faults.push(format!("failback: {} got {calls} of {allowed}", worker.id));
             }
