Telemetry and log say what a process holds: memory, descriptors, connections, records

Neither telemetry nor the log told how much memory or how many descriptors a front end used, nor what took them, so the report could not say which limit had been passed.

telemetry has app.process.* (resident memory and open descriptors as the system counts them, connections of both sides, requests, timers, functions, reserved bytes); a line tells the same once a second while more than three quarters of the memory are used, and another when no worker connection may be opened and why. No decision changes.

--- a/wrenseam/src/core/admin.rs
+++ b/wrenseam/src/core/admin.rs
@@ -41,6 +41,7 @@
             self.gauges(),
             self.discovery_metrics(),
             self.fleet_admission.as_ref(),
+            Some(self.process_metrics()),
         )
     }
 
--- a/wrenseam/src/core/counters.rs
+++ b/wrenseam/src/core/counters.rs
@@ -1,6 +1,6 @@
 //! The core's counters: request ends by class and attempts for `telemetry`, and requests by tenant for `/v1/state`. All
 //! start at 0 when the process starts.
-use super::{DiscoveryMetrics, FleetAdmission};
+use super::{DiscoveryMetrics, FleetAdmission, ProcessMetrics};
 use crate::model::RequestEnd;
 use std::fmt::Write;
 
@@ -68,13 +68,14 @@
     }
 
     /// The reply to `telemetry`: one metric per line, then `END`. `discovery` and `fleet` are `None` if the front end
-    /// has no discovery service or no fleet.
+    /// has no discovery service or no fleet; `process` is `None` if its metrics are left out.
     pub fn telemetry(
         &self,
         class_names: &[String],
         gauges: Gauges,
         discovery: Option<DiscoveryMetrics>,
         fleet: Option<&FleetAdmission>,
+        process: Option<ProcessMetrics>,
     ) -> String {
         let mut text = String::new();
         self.write_classes(class_names, &mut text);
@@ -88,6 +89,9 @@
         if let Some(fleet) = fleet {
             fleet.write_telemetry(&mut text);
         }
+        if let Some(process) = process {
+            process.write_telemetry(&mut text);
+        }
         text.push_str("END\n");
         text
     }
--- a/wrenseam/src/core/endpoints.rs
+++ b/wrenseam/src/core/endpoints.rs
@@ -2,6 +2,7 @@
 //! get one more connection.
 use super::log_lines::LogLine;
 use super::readiness::ids;
+use super::resources::no_connection;
 use super::Core;
 use crate::discovery::membership::Change;
 use crate::limits::RESERVED_DESCRIPTORS;
@@ -86,8 +87,16 @@
             .process_state
             .client_connections
             .load(Ordering::Acquire);
-        self.workers
-            .ensure_connection_available(worker, self.pool_limit(), clients)
+        let pool_limit = self.pool_limit();
+        let is_available = self
+            .workers
+            .ensure_connection_available(worker, pool_limit, clients);
+        if !is_available {
+            let open = self.workers.connections();
+            let limit = pool_limit.max_connections(clients);
+            log_limited!("{}", no_connection(worker, open, limit));
+        }
+        is_available
     }
 
     /// The limit on connections to workers, from the process's limit on descriptors.
--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -16,6 +16,7 @@
 mod messages;
 mod readiness;
 mod requests;
+pub mod resources;
 mod state_report;
 pub mod tables;
 mod timer_events;
@@ -24,6 +25,7 @@
 pub use counters::{Gauges, RequestCounters, TenantCounters, TenantCounts};
 pub use discovery_contact::DiscoveryMetrics;
 pub use fleet_admission::FleetAdmission;
+pub use resources::{ProcessMetrics, ResourceUsage};
 
 use crate::clock::Clock;
 use crate::discovery::membership::Membership;
--- a/wrenseam/src/core/tables/workers.rs
+++ b/wrenseam/src/core/tables/workers.rs
@@ -224,7 +224,7 @@
     }
 
     /// Connections to workers that are established or being established.
-    fn connections(&self) -> usize {
+    pub fn connections(&self) -> usize {
         self.0
             .values()
             .flat_map(Worker::transports)
--- a/wrenseam/src/core/timer_events.rs
+++ b/wrenseam/src/core/timer_events.rs
@@ -58,6 +58,7 @@
     /// Closes idle connections and removes the records of workers that are gone. Workers are replaced continually, so
     /// their records would otherwise accumulate.
     fn sweep_idle(&mut self) {
+        self.report_high_memory();
         self.workers.close_idle_connections();
         for id in self.workers.remove_gone() {
             self.membership.forget(&id);
--- a/wrenseam/src/core/timers.rs
+++ b/wrenseam/src/core/timers.rs
@@ -53,6 +53,16 @@
         }));
     }
 
+    /// The number of timers that have not fired.
+    pub fn len(&self) -> usize {
+        self.heap.len()
+    }
+
+    /// Whether no timer is set.
+    pub fn is_empty(&self) -> bool {
+        self.heap.is_empty()
+    }
+
     /// Removes and returns the next timer if it is due.
     pub fn pop_due(&mut self, now: Micros) -> Option<TimerEvent> {
         if self.next_at()? > now {
--- a/wrenseam/src/front/listener.rs
+++ b/wrenseam/src/front/listener.rs
@@ -53,7 +53,10 @@
     pub fn new(core: CoreHandle, limits: Arc<Limits>, process_state: Arc<ProcessState>) -> Self {
         ListenerContext {
             core,
-            budget: MemoryBudget::new(limits.memory_budget_bytes),
+            budget: MemoryBudget::with_gauge(
+                limits.memory_budget_bytes,
+                process_state.reserved_bytes.clone(),
+            ),
             slots: ConnectionSlots::new(
                 limits.max_client_connections,
                 process_state.draining.clone(),
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod model;
 pub mod net;
 pub mod process_state;
+pub mod process_usage;
 pub mod queue;
 pub mod ring;
 mod server;
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -227,6 +227,8 @@
     pub keepalive_check_interval: Micros,
 
     // The process.
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: usize,
     /// Bytes that the bodies and unsent responses of all requests may reserve together.
     pub memory_budget_bytes: usize,
     /// Stack size of a coroutine, in bytes.
@@ -281,6 +283,7 @@
             keepalive_repeat_percent: keepalive_repeat_percent(settings),
             keepalive_timeout: KEEPALIVE_TIMEOUT,
             keepalive_check_interval: KEEPALIVE_CHECK_INTERVAL,
+            memory_bytes: process.memory_bytes,
             memory_budget_bytes: process.memory_bytes / MEMORY_BUDGET_DIVISOR,
             coroutine_stack_bytes: STACK_BYTES,
             listener_close_delay: LISTENER_CLOSE_DELAY,
--- a/wrenseam/src/memory_budget.rs
+++ b/wrenseam/src/memory_budget.rs
@@ -12,10 +12,12 @@
 impl MemoryBudget {
     /// A budget of `capacity` bytes, none of them reserved.
     pub fn new(capacity: usize) -> Self {
-        MemoryBudget {
-            reserved: Arc::default(),
-            capacity,
-        }
+        MemoryBudget::with_gauge(capacity, Arc::default())
+    }
+
+    /// A budget of `capacity` bytes that keeps the number of reserved ones in `reserved`, which is 0 now.
+    pub fn with_gauge(capacity: usize, reserved: Arc<AtomicUsize>) -> Self {
+        MemoryBudget { reserved, capacity }
     }
 
     /// Reserves this many bytes; `None`, with nothing reserved, if fewer are free.
--- a/wrenseam/tests/golden_admin.rs
+++ b/wrenseam/tests/golden_admin.rs
@@ -27,6 +27,17 @@
     out
 }
 
+/// Replaces the values of the process's own metrics, which differ between runs, by `N`.
+fn mask_process_metrics(telemetry: &str) -> String {
+    telemetry
+        .split_inclusive('\n')
+        .map(|line| match line.starts_with("app.process.") {
+            true => mask_numbers_after(line, ":"),
+            false => line.to_owned(),
+        })
+        .collect()
+}
+
 /// Sorts the endpoints in a state report. The report lists them by name; if their names are addresses, the order of the
 /// masked entries differs between runs.
 fn with_endpoints_sorted(state: &str) -> String {
@@ -62,7 +73,7 @@
     };
     let names = ["tile-render", "tile-order"].map(str::to_owned);
     assert_golden(
-        &counters().telemetry(&names, gauges, None, None),
+        &counters().telemetry(&names, gauges, None, None, None),
         "app.downstream_requests.tile-render.completed:0|c\n\
          app.downstream_requests.tile-render.rejected:0|c\n\
          app.downstream_requests.tile-render.failed:0|c\n\
@@ -201,7 +212,7 @@
     );
     assert_eq!(harness.admin_command("exclude w3\n"), "YES excluded w3\n");
     assert_golden(
-        &harness.admin_command("telemetry\n"),
+        &mask_process_metrics(&harness.admin_command("telemetry\n")),
         "app.downstream_requests.tile-render.completed:1|c\n\
          app.downstream_requests.tile-render.rejected:0|c\n\
          app.downstream_requests.tile-render.failed:0|c\n\
@@ -212,6 +223,14 @@
          app.pending:0|g\n\
          app.members:4|g\n\
          app.members_unavailable:1|g\n\
+         app.process.resident_kib:N|g\n\
+         app.process.descriptors:N|g\n\
+         app.process.client_connections:N|g\n\
+         app.process.worker_connections:N|g\n\
+         app.process.requests:N|g\n\
+         app.process.timers:N|g\n\
+         app.process.functions:N|g\n\
+         app.process.reserved_bytes:N|g\n\
          END\n",
     );
     let state = http_get(harness.admin_api, "/v1/state");
@@ -281,6 +300,14 @@
          app.fleet.dropped_stale:N|c\n\
          app.fleet.dropped_stranger:N|c\n\
          app.fleet.dropped_impostor:N|c\n\
+         app.process.resident_kib:N|g\n\
+         app.process.descriptors:N|g\n\
+         app.process.client_connections:N|g\n\
+         app.process.worker_connections:N|g\n\
+         app.process.requests:N|g\n\
+         app.process.timers:N|g\n\
+         app.process.functions:N|g\n\
+         app.process.reserved_bytes:N|g\n\
          END\n",
     );
 }
--- a/wrenseam/tests/telemetry.rs
+++ b/wrenseam/tests/telemetry.rs
@@ -1,6 +1,11 @@
 //! The core's counters: request ends by class for `telemetry`, and requests by tenant for `/v1/state`.
-use wrenseam::core::{DiscoveryMetrics, Gauges, RequestCounters, TenantCounters, TenantCounts};
+use wrenseam::core::resources::{memory_high, no_connection};
+use wrenseam::core::{
+    DiscoveryMetrics, Gauges, ProcessMetrics, RequestCounters, ResourceUsage, TenantCounters,
+    TenantCounts,
+};
 use wrenseam::model::RequestEnd;
+use wrenseam::process_usage::parse_resident_kib;
 
 #[test]
 fn request_ends_are_counted_by_class_and_written_one_a_line() {
@@ -19,7 +24,7 @@
         members: 6,
         unavailable: 1,
     };
-    let text = counters.telemetry(&names, gauges, None, None);
+    let text = counters.telemetry(&names, gauges, None, None, None);
     let lines: Vec<&str> = text.lines().collect();
     assert_eq!(
         lines,
@@ -71,8 +76,54 @@
         suspended: 3,
         health_checks: 45,
     };
-    let text = counters.telemetry(&[], Gauges::default(), Some(metrics), None);
+    let text = counters.telemetry(&[], Gauges::default(), Some(metrics), None, None);
     let end = "app.discovery.confirmed_ms_ago:1234|g\napp.discovery.interruptions:2|c\n\
                app.members_suspended:3|g\napp.health_checks:45|c\nEND\n";
     assert!(text.ends_with(end), "{text}");
 }
+
+const USAGE: ResourceUsage = ResourceUsage {
+    client_connections: 1,
+    worker_connections: 2,
+    requests: 3,
+    timers: 4,
+    functions: 5,
+    reserved_bytes: 6,
+};
+
+/// A value that the system does not tell has no line.
+#[test]
+fn process_metrics_are_written_before_the_end_line() {
+    let counters = RequestCounters::new(0);
+    let metrics = ProcessMetrics {
+        resident_kib: Some(12_345),
+        descriptors: None,
+        usage: USAGE,
+    };
+    let text = counters.telemetry(&[], Gauges::default(), None, None, Some(metrics));
+    let end = "app.process.resident_kib:12345|g\napp.process.client_connections:1|g\n\
+               app.process.worker_connections:2|g\napp.process.requests:3|g\napp.process.timers:4|g\n\
+               app.process.functions:5|g\napp.process.reserved_bytes:6|g\nEND\n";
+    assert!(text.ends_with(end), "{text}");
+}
+
+#[test]
+fn log_lines_say_what_takes_memory_and_connections() {
+    assert_eq!(
+        memory_high(40_000, 49_152, &USAGE).to_string(),
+        "process: 40000 of 49152 KiB resident; 1 client and 2 worker connections, 3 requests, 4 timers, 5 functions, \
+         6 bytes reserved"
+    );
+    assert_eq!(
+        no_connection("w1", 7, 8).to_string(),
+        "worker w1: no connection available: 7 of 8 are open"
+    );
+}
+
+#[test]
+fn resident_memory_is_read_from_the_status_text() {
+    let status = "Name:\twrenseam\nVmHWM:\t   9000 kB\nVmRSS:\t   8123 kB\n";
+    assert_eq!(parse_resident_kib(status), Some(8_123));
+    assert_eq!(parse_resident_kib("VmRSS:\t kB\n"), None);
+    assert_eq!(parse_resident_kib(""), None);
+}
