--- a/wrenseam/tests/common/clients/mod.rs
+++ b/wrenseam/tests/common/clients/mod.rs
@@ -2,10 +2,12 @@
 pub(crate) mod fastcgi;
 pub(crate) mod v2;
 
+use super::support::fastcgi::{
+    abort_request, fastcgi_request, read_fastcgi_answer, stdin_record, OVERLOADED,
+};
 use super::support::http::{read_message, HttpMessage};
 use super::support::sockets::{connect, TEST_TIMEOUT};
 use super::{CallContent, Protocol, FUNCTION, QUIET_PERIOD};
-use fastcgi::{abort_request, fastcgi_request, read_fastcgi_answer, stdin_record, OVERLOADED};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -13,14 +13,14 @@
 
 #[allow(unused_imports, reason = "each test binary uses its own part")]
 pub(crate) use {
-    clients::{
-        fastcgi::{fastcgi_record, fastcgi_request, read_fastcgi_answer},
-        http_get,
-    },
+    clients::http_get,
     fleet::Fleet,
     harness::Harness,
     program::{admin_command, POLICY_SETTINGS},
-    support::sockets::connect,
+    support::{
+        fastcgi::{fastcgi_record, fastcgi_request, read_fastcgi_answer},
+        sockets::connect,
+    },
 };
 
 use std::time::Duration;
--- a/wrenseam/tests/common/program.rs
+++ b/wrenseam/tests/common/program.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
 
 /// Policy settings in the configuration of each test.
 pub(crate) const POLICY_SETTINGS: &str = r#"{"balancers":1,"classes":[
@@ -26,12 +27,38 @@
     child: Child,
     /// Lines of the log; `None` once `forward_log` reads them.
     log: Option<Lines<BufReader<ChildStderr>>>,
+    /// Set to have `forward_log` close the log after the next line.
+    closes_log: Arc<AtomicBool>,
 }
 
 impl Program {
     /// Starts the front end with its FastCGI front on a free port and `folder` as its `TMPDIR`.
     pub(crate) fn start(folder: &Path, config: &Path, environment: &[Variable]) -> Program {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_wrenseam"))
+        let command = Command::new(env!("CARGO_BIN_EXE_wrenseam"));
+        Program::launch(command, folder, config, environment)
+    }
+
+    /// Like [`Program::start`], with a limit on the file descriptors that the system enforces.
+    #[allow(dead_code, reason = "each test binary uses its own part")]
+    pub(crate) fn start_limited(
+        folder: &Path,
+        config: &Path,
+        environment: &[Variable],
+        descriptors: usize,
+    ) -> Program {
+        let mut command = Command::new("sh");
+        let script = format!("ulimit -n {descriptors} && exec \"$0\"");
+        command.args(["-c", &script, env!("CARGO_BIN_EXE_wrenseam")]);
+        Program::launch(command, folder, config, environment)
+    }
+
+    fn launch(
+        mut command: Command,
+        folder: &Path,
+        config: &Path,
+        environment: &[Variable],
+    ) -> Program {
+        let mut child = command
             .env("NODE_CONFIG", config)
             .env("NODE_LISTEN", "127.0.0.1:0")
             .env("TMPDIR", folder)
@@ -43,6 +70,7 @@
         Program {
             child,
             log: Some(log),
+            closes_log: Arc::default(),
         }
     }
 
@@ -64,13 +92,23 @@
     /// so that it cannot fill up and block the front end.
     pub(crate) fn forward_log(&mut self, label: String) {
         let log = self.log.take().expect("the log is not forwarded yet");
+        let closes_log = self.closes_log.clone();
         std::thread::spawn(move || {
             for line in log.map_while(Result::ok) {
                 eprintln!("  {label}: {line}");
+                if closes_log.load(Ordering::Acquire) {
+                    return;
+                }
             }
         });
     }
 
+    /// Closes the reading end of the log after the next line. The process cannot write any line after it.
+    #[allow(dead_code, reason = "each test binary uses its own part")]
+    pub(crate) fn close_log(&self) {
+        self.closes_log.store(true, Ordering::Release);
+    }
+
     /// Process id.
     pub(crate) fn pid(&self) -> u32 {
         self.child.id()
--- a/wrenseam/tests/discovery_outage.rs
+++ b/wrenseam/tests/discovery_outage.rs
@@ -3,7 +3,8 @@
 
 use platform::{
     cold_overload, late_arrivals, start_workers, wait_until, ClientSettings, Clients, Deployment,
-    DiscoveryService, DrainLimits, EventLog, FrontEnd, FrontEndSettings, Outage, SimulatedWorker,
+    DiscoveryService, DrainLimits, EventLog, FrontEnd, FrontEndSettings, Outage, ProcessLimits,
+    SimulatedWorker,
 };
 use rstest::rstest;
 use std::time::{Duration, Instant};
@@ -46,6 +47,7 @@
                 deployment: deployment.clone(),
                 index,
                 seed: 0x2a,
+                limits: ProcessLimits::default(),
             };
             let front_end = FrontEnd::start(settings, &log, discovery.address);
             let client = ClientSettings {
--- a/wrenseam/tests/platform/client.rs
+++ b/wrenseam/tests/platform/client.rs
@@ -1,6 +1,6 @@
 //! Simulated clients that send requests to front ends over FastCGI. Each has one request open at a time and keeps its
 //! connection open between requests.
-use super::support::sockets::read_bytes;
+use super::support::fastcgi::{fastcgi_request, read_fastcgi_answer, FastCgiAnswer, OVERLOADED};
 use super::FUNCTIONS;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -11,16 +11,6 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-/// Types of FastCGI records.
-const BEGIN_REQUEST: u8 = 1;
-const END_REQUEST: u8 = 3;
-const PARAMS: u8 = 4;
-const STDIN: u8 = 5;
-const STDOUT: u8 = 6;
-/// Content of a `BEGIN_REQUEST` record: the role of a responder, with the connection kept open.
-const RESPONDER_KEEP_OPEN: [u8; 8] = [0, 1, 1, 0, 0, 0, 0, 0];
-/// Protocol status `FCGI_OVERLOADED` of an `END_REQUEST` record.
-const OVERLOADED: u8 = 2;
 /// An answer that has not arrived this long after the request's timeout counts as lost.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -210,40 +200,29 @@
         };
         let request_id = format!("{id:016x}");
         let timeout_ms = self.settings.timeout.as_millis().to_string();
-        let mut params = vec![
-            ("SCRIPT_NAME", class),
-            ("HTTP_REQ_ID", &request_id),
-            ("HTTP_REQ_WAIT_MS", &timeout_ms),
-            ("HTTP_REQ_OWNER", "acme"),
-            ("HTTP_REQ_KEY", function),
-            ("HTTP_X_MORE", "memory_mb:512;lanes:4;load_ms:640"),
-        ];
+        let mut params = call_params(class, &request_id, &timeout_ms, function).to_vec();
         if let Some(key) = key {
             params.push(("HTTP_REQ_TOKEN", key));
         }
-        let params: Vec<u8> = params
-            .iter()
-            .flat_map(|(name, value)| {
-                let lengths = [name.len() as u8, value.len() as u8];
-                [&lengths, name.as_bytes(), value.as_bytes()].concat()
-            })
-            .collect();
-        [
-            record(BEGIN_REQUEST, &RESPONDER_KEEP_OPEN),
-            record(PARAMS, &params),
-            record(PARAMS, &[]),
-            record(STDIN, b"tile"),
-            record(STDIN, &[]),
-        ]
-        .concat()
+        fastcgi_request(1, &params, b"tile")
     }
 }
 
-/// Encodes a FastCGI record of request 1 without padding.
-fn record(kind: u8, content: &[u8]) -> Vec<u8> {
-    let [length_high, length_low] = (content.len() as u16).to_be_bytes();
-    let header = [1, kind, 0, 1, length_high, length_low, 0, 0];
-    [&header, content].concat()
+/// The parameters of a call without an idempotency key.
+pub(crate) fn call_params<'a>(
+    script_name: &'a str,
+    request_id: &'a str,
+    timeout_ms: &'a str,
+    function: &'a str,
+) -> [(&'a str, &'a str); 6] {
+    [
+        ("SCRIPT_NAME", script_name),
+        ("HTTP_REQ_ID", request_id),
+        ("HTTP_REQ_WAIT_MS", timeout_ms),
+        ("HTTP_REQ_OWNER", "acme"),
+        ("HTTP_REQ_KEY", function),
+        ("HTTP_X_MORE", "memory_mb:512;lanes:4;load_ms:640"),
+    ]
 }
 
 /// Reads the answer, until `deadline` at the latest, and classifies it or its absence.
@@ -262,34 +241,36 @@
     }
 }
 
-/// Reads records up to the end of the request. An error of kind `WouldBlock` or `TimedOut` means that `deadline` has
-/// passed.
+/// Reads the answer. An error of kind `WouldBlock` or `TimedOut` means that `deadline` has passed.
 fn read_answer(stream: &mut TcpStream, deadline: Instant) -> io::Result<RequestOutcome> {
-    let mut stdout = Vec::new();
-    loop {
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        stream.set_read_timeout(Some(remaining.max(Duration::from_millis(1))))?;
-        let header = read_bytes(stream, 8)?;
-        let length = usize::from(u16::from_be_bytes([header[4], header[5]]));
-        let content = read_bytes(stream, length)?;
-        stream.read_exact(&mut vec![0; header[6].into()])?;
-        match header[1] {
-            STDOUT => stdout.extend(content),
-            END_REQUEST => return Ok(answer_outcome(&stdout, content[4])),
-            kind => panic!("unexpected FastCGI record type {kind}"),
-        }
+    let answer = read_fastcgi_answer(&mut ReadUntil { stream, deadline })?;
+    Ok(answer_outcome(&answer))
+}
+
+/// A stream on which reads end at a deadline.
+struct ReadUntil<'a> {
+    stream: &'a mut TcpStream,
+    deadline: Instant,
+}
+
+impl Read for ReadUntil<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        let timeout = remaining.max(Duration::from_millis(1));
+        self.stream.set_read_timeout(Some(timeout))?;
+        self.stream.read(buffer)
     }
 }
 
 /// Classifies a complete answer.
-fn answer_outcome(stdout: &[u8], protocol_status: u8) -> RequestOutcome {
-    let text = String::from_utf8_lossy(stdout);
-    if protocol_status == OVERLOADED
-        || text.starts_with("Status: 503")
-        || text.starts_with("Status: 429")
+fn answer_outcome(answer: &FastCgiAnswer) -> RequestOutcome {
+    let status = answer.head.strip_prefix("Status: ").unwrap_or_default();
+    if answer.protocol_status == OVERLOADED
+        || status.starts_with("503")
+        || status.starts_with("429")
     {
         RequestOutcome::Rejected
-    } else if text.starts_with("Status: 200") && text.ends_with("DONE") {
+    } else if status.starts_with("200") && answer.body == b"DONE" {
         RequestOutcome::Served
     } else {
         RequestOutcome::Failed
--- a/wrenseam/tests/platform/front_end.rs
+++ b/wrenseam/tests/platform/front_end.rs
@@ -6,6 +6,22 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
+/// Limits of a front end process. The test checks the memory; the system enforces the descriptors.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ProcessLimits {
+    pub(crate) memory_mb: u64,
+    pub(crate) descriptors: usize,
+}
+
+impl Default for ProcessLimits {
+    fn default() -> ProcessLimits {
+        ProcessLimits {
+            memory_mb: 192,
+            descriptors: 512,
+        }
+    }
+}
+
 /// The configuration of a front end.
 #[derive(Clone, Debug)]
 pub(crate) struct FrontEndSettings {
@@ -14,6 +30,7 @@
     pub(crate) index: usize,
     /// Base of the seeds in the configuration, which differ for each front end and each start.
     pub(crate) seed: u64,
+    pub(crate) limits: ProcessLimits,
 }
 
 /// A front end that keeps its name and addresses over restarts.
@@ -80,6 +97,26 @@
         self.program.signal(name);
     }
 
+    /// The most memory that the present process has held so far, in KiB; `None` if it has ended.
+    pub(crate) fn peak_resident_kib(&self) -> Option<u64> {
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", self.program.pid())).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
+    /// The file descriptors that the present process has open.
+    pub(crate) fn open_descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.program.pid())).map_or(0, Iterator::count)
+    }
+
+    /// Closes the reading end of the process's log after the next line.
+    pub(crate) fn close_log(&self) {
+        self.program.close_log();
+    }
+
     /// Kills the process with SIGKILL.
     pub(crate) fn kill(&mut self) {
         self.program.kill();
@@ -131,9 +168,13 @@
         .seed
         .wrapping_add(index as u64 * 1_000 + start_count);
     let known = log.to_known_events();
+    let ProcessLimits {
+        memory_mb,
+        descriptors,
+    } = settings.limits;
     let deployment = settings.deployment.settings(index);
     let text = format!(
-        r#"{{"name":"n{index}","seed":"{seed:x}","limits":{{"memory_mb":192,"sockets":512}},"settings":{deployment},"board":"{discovery}","known":{known}}}"#
+        r#"{{"name":"n{index}","seed":"{seed:x}","limits":{{"memory_mb":{memory_mb},"sockets":{descriptors}}},"settings":{deployment},"board":"{discovery}","known":{known}}}"#
     );
     write_file(folder.join("config.json"), &text);
 }
@@ -150,7 +191,9 @@
         ("NODE_LISTEN", OsStr::new(&address)),
         ("NODE_ADMIN", OsStr::new(&admin_address)),
     ];
-    let mut program = Program::start(folder, &folder.join("config.json"), &environment);
+    let descriptors = settings.limits.descriptors;
+    let config = folder.join("config.json");
+    let mut program = Program::start_limited(folder, &config, &environment, descriptors);
     program.next_listen_address();
     program.next_listen_address();
     program.forward_log(format!("n{}", settings.index));
--- a/wrenseam/tests/platform/mod.rs
+++ b/wrenseam/tests/platform/mod.rs
@@ -1,6 +1,7 @@
 //! A simulated platform around several front end processes: workers that drain, stop and restart, a discovery service
 //! that can be made unreachable, clients that keep their connections open, and checks of the platform's rules.
 #![allow(dead_code, reason = "each test binary uses its own part")]
+mod abuse;
 mod client;
 mod discovery;
 mod front_end;
@@ -14,9 +15,10 @@
 
 #[allow(unused_imports, reason = "each test binary uses its own part")]
 pub(crate) use {
+    abuse::{Abuse, AbusiveClients},
     client::{ClientSettings, Clients, RequestOutcome, RequestRecord},
     discovery::{DiscoveryService, EventLog, Outage},
-    front_end::{FrontEnd, FrontEndSettings},
+    front_end::{FrontEnd, FrontEndSettings, ProcessLimits},
     rules::{cold_overload, forbidden_duplicates, late_arrivals, DrainLimits},
     settings::{Deployment, FUNCTIONS},
     worker::{Arrival, ArrivalKind, Drain, SimulatedWorker},
--- a/wrenseam/tests/platform/worker.rs
+++ b/wrenseam/tests/platform/worker.rs
@@ -3,6 +3,7 @@
 use super::support::frames::{code, encode_answer, read_frame, Frame};
 use super::{unique_loopback_address, POLL_INTERVAL};
 use socket2::SockRef;
+use std::collections::BTreeMap;
 use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -40,8 +41,10 @@
     is_draining: bool,
     /// Unix time of the last restart, in ms; 0 before the first, which means a start long ago.
     started_at_ms: u64,
-    /// All connections that the present process accepted.
-    streams: Vec<TcpStream>,
+    /// The open connections of the present process, by the number of their acceptance.
+    streams: BTreeMap<u64, TcpStream>,
+    /// Number of connections accepted so far.
+    accepted: u64,
     arrivals: Vec<Arrival>,
     drains: Vec<Drain>,
     /// Number of health checks received.
@@ -119,7 +122,7 @@
             if let Some(drain) = state.drains.last_mut() {
                 drain.ended_at.get_or_insert(Instant::now());
             }
-            for stream in state.streams.drain(..) {
+            for stream in std::mem::take(&mut state.streams).into_values() {
                 let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                 let _ = stream.shutdown(Shutdown::Both);
             }
@@ -176,10 +179,15 @@
         let _ = stream.set_nonblocking(false);
         let _ = stream.set_nodelay(true);
         let clone = stream.try_clone().expect("cloned");
-        self.with_state(|state| state.streams.push(clone));
+        let number = self.with_state(|state| {
+            state.accepted += 1;
+            state.streams.insert(state.accepted, clone);
+            state.accepted
+        });
         let worker = self.clone();
         std::thread::spawn(move || {
             let _ = worker.serve(stream); // the connection has ended
+            worker.with_state(|state| state.streams.remove(&number));
         });
     }
 
@@ -218,13 +226,14 @@
         if !self.record_arrival(at, kind) {
             return write(answers, &encode_answer(code::REJECTED, frame.id, "", b""));
         }
-        let (id, call_time, answers) = (frame.id, self.call_time, answers.clone());
+        let answer = encode_answer(code::OK, frame.id, "detail=resident", b"DONE");
+        if self.call_time.is_zero() {
+            return write(answers, &answer);
+        }
+        let (call_time, answers) = (self.call_time, answers.clone());
         std::thread::spawn(move || {
             std::thread::sleep(call_time);
-            write(
-                &answers,
-                &encode_answer(code::OK, id, "detail=resident", b"DONE"),
-            );
+            write(&answers, &answer);
         });
     }
 
--- a/wrenseam/tests/soak.rs
+++ b/wrenseam/tests/soak.rs
@@ -9,7 +9,7 @@
 use platform::{
     cold_overload, forbidden_duplicates, late_arrivals, start_workers, ClientSettings, Clients,
     Deployment, DiscoveryService, Drain, DrainLimits, EventLog, FrontEnd, FrontEndSettings, Outage,
-    RequestOutcome, RequestRecord, SimulatedWorker,
+    ProcessLimits, RequestOutcome, RequestRecord, SimulatedWorker,
 };
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -271,6 +271,7 @@
                 deployment: plan.deployment.clone(),
                 index,
                 seed: plan.seed << 8,
+                limits: ProcessLimits::default(),
             };
             let front_end = FrontEnd::start(settings, &log, discovery[0].address);
             let client = ClientSettings {
