A repeated request id no longer opens a worker connection for each attempt

What callers saw: a front end used all its descriptors (accept failed: Too many open files) and passed its memory limit when a client sent one request id again and again.

Cause: a connection keeps the ids that it carried, as a late or second answer to the first call would be taken for the next one's (reserve_id). connection_for opened another connection when all others had the id, but the check before it, ensure_connection_available, asked connections().next_attempt_opens, which is false as soon as any connection has room for some call. A limit that counts something else than what is opened is no limit.

Change: the check asks for the call that will be sent (call_opens_connection); at most two connections to a worker keep one id, after that a call with it is not sent (NotSent, so the worker's health is not touched) and logged; open connections are counted where they are opened and until both descriptors are closed (ConnectionGauge), and none is opened beyond what clients leave; an order to unload asks for a connection like every other exchange.

New tests: a_repeated_call_id_opens_at_most_two_connections, connections_that_are_being_closed_count_against_the_descriptors.

Tests of resource_limits.rs take turns: side by side their clients slowed each other and two cases passed on the old code. The log test waits until the log is closed: in a run beside the others nothing had been written after it, and it passed by that.

--- a/wrenseam/src/core/actions.rs
+++ b/wrenseam/src/core/actions.rs
@@ -46,7 +46,7 @@
                 function,
                 replicas,
             } => self.order_load(worker, function, replicas),
-            Action::Unload { worker, function } => self.workers.unload(&worker, function),
+            Action::Unload { worker, function } => self.order_unload(&worker, function),
             Action::Log { text } => log_limited!("{}", LogLine::Policy(&text)),
             Action::WatchEndpoints => {} // the discovery client watches the endpoint lists from the start
         }
--- a/wrenseam/src/core/attempts.rs
+++ b/wrenseam/src/core/attempts.rs
@@ -22,10 +22,10 @@
         write_deadline: Option<Instant>,
     ) {
         let now = self.clock.now();
-        let has_connection = self.ensure_connection_available(&worker);
         let Some(request) = self.requests.request(id).cloned() else {
             return;
         };
+        let has_connection = self.ensure_connection_available(&worker, Some(request.wire_id));
         let response_timeout = self.effective_timeout(now, &request, timeout);
         let admitted = self.admit_attempt(now, id);
         let Some(key) = self.requests.start_attempt(id, worker.clone(), now) else {
--- a/wrenseam/src/core/endpoints.rs
+++ b/wrenseam/src/core/endpoints.rs
@@ -57,6 +57,7 @@
         let endpoint = change.endpoint;
         let address = endpoint.address;
         let protocol = endpoint.protocol;
+        let gauge = self.workers.gauge();
         self.workers.update(endpoint, change.action, || {
             transport(
                 protocol,
@@ -64,6 +65,7 @@
                 &self.limits,
                 &self.reports,
                 &self.system_calls,
+                &gauge,
             )
         });
     }
@@ -80,9 +82,9 @@
         }
     }
 
-    /// Whether an attempt at this worker has a connection to use or may open one; see
+    /// Whether an exchange with this worker has a connection to use or may open one; `call` is the id of a call. See
     /// [`super::tables::WorkerTable::ensure_connection_available`].
-    pub(super) fn ensure_connection_available(&mut self, worker: &str) -> bool {
+    pub(super) fn ensure_connection_available(&mut self, worker: &str, call: Option<u64>) -> bool {
         let clients = self
             .process_state
             .client_connections
@@ -90,7 +92,7 @@
         let pool_limit = self.pool_limit();
         let is_available = self
             .workers
-            .ensure_connection_available(worker, pool_limit, clients);
+            .ensure_connection_available(worker, call, pool_limit, clients);
         if !is_available {
             let open = self.workers.connections();
             let limit = pool_limit.max_connections(clients);
--- a/wrenseam/src/core/load_orders.rs
+++ b/wrenseam/src/core/load_orders.rs
@@ -13,7 +13,7 @@
     pub(super) fn order_load(&mut self, worker: WorkerId, function: FunctionId, replicas: u32) {
         let now = self.clock.now();
         let number = self.next_number();
-        let has_connection = self.ensure_connection_available(&worker);
+        let has_connection = self.ensure_connection_available(&worker, None);
         let start_deadline = match replicas {
             0 => None,
             _ => self.lease_end(&worker),
@@ -48,6 +48,14 @@
         );
     }
 
+    /// Orders a worker to unload its idle replicas of a function. Without a connection for it the order is dropped: the
+    /// worker unloads idle replicas by itself after a while.
+    pub(super) fn order_unload(&mut self, worker: &str, function: FunctionId) {
+        if self.ensure_connection_available(worker, None) {
+            self.workers.unload(worker, function);
+        }
+    }
+
     /// Ends an order that got no response in time. Its connection stops waiting for one, as it would otherwise never
     /// count as idle.
     pub(super) fn time_out_load_order(&mut self, number: u64) {
--- a/wrenseam/src/core/readiness.rs
+++ b/wrenseam/src/core/readiness.rs
@@ -111,7 +111,7 @@
 
     fn check_health(&mut self, worker: WorkerId) {
         let number = self.next_number();
-        if !self.ensure_connection_available(&worker) {
+        if !self.ensure_connection_available(&worker, None) {
             return;
         }
         let Some(transport) = self.workers.transport(&worker) else {
--- a/wrenseam/src/core/tables/workers.rs
+++ b/wrenseam/src/core/tables/workers.rs
@@ -1,7 +1,9 @@
 //! The listed workers with their transports, and the limit on the number of connections to all of them.
 use crate::discovery::membership::ConnectionAction;
 use crate::model::{AttemptKey, Endpoint};
-use crate::worker::pool::{longest_idle, ConnectionCounts, IdleConnection, PoolLimit};
+use crate::worker::pool::{
+    longest_idle, ConnectionCounts, ConnectionGauge, IdleConnection, PoolLimit,
+};
 use crate::worker::{CancelOutcome, Transport};
 use std::collections::btree_map::{BTreeMap, Entry};
 use wrenseam_policy::{FunctionId, WorkerState};
@@ -75,12 +77,20 @@
 
 /// The workers, by id. A worker that is gone stays in the table until its last connection has closed.
 #[derive(Default)]
-pub struct WorkerTable(BTreeMap<String, Worker>);
+pub struct WorkerTable {
+    workers: BTreeMap<String, Worker>,
+    gauge: ConnectionGauge,
+}
 
 impl WorkerTable {
+    /// Counts the connections of all transports that share it.
+    pub fn gauge(&self) -> ConnectionGauge {
+        self.gauge.clone()
+    }
+
     /// The endpoints of all workers, ordered by id.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
-        self.0.values().map(|worker| &worker.endpoint)
+        self.workers.values().map(|worker| &worker.endpoint)
     }
 
     /// Adds or changes a worker. `connect` creates its transport if the worker is new or `action` requires a new one.
@@ -90,7 +100,7 @@
         action: ConnectionAction,
         connect: impl FnOnce() -> Box<dyn Transport>,
     ) {
-        match self.0.entry(endpoint.id.clone()) {
+        match self.workers.entry(endpoint.id.clone()) {
             Entry::Occupied(mut worker) => worker.get_mut().update(endpoint, action, connect),
             Entry::Vacant(slot) => {
                 slot.insert(Worker::new(endpoint, connect()));
@@ -100,26 +110,26 @@
 
     /// The transport of a worker in any state.
     pub fn transport(&mut self, worker: &str) -> Option<&mut dyn Transport> {
-        let worker = self.0.get_mut(worker)?;
+        let worker = self.workers.get_mut(worker)?;
         Some(worker.transport.as_mut())
     }
 
     /// The transport of a worker that may get new work.
     pub fn ready_transport(&mut self, worker: &str) -> Option<&mut dyn Transport> {
-        let worker = self.0.get_mut(worker)?;
+        let worker = self.workers.get_mut(worker)?;
         (worker.endpoint.state == WorkerState::Ready).then_some(worker.transport.as_mut())
     }
 
     /// Cancels an attempt at a worker.
     pub fn cancel(&mut self, worker: &str, key: AttemptKey) -> CancelOutcome {
-        self.0
+        self.workers
             .get_mut(worker)
             .map_or(CancelOutcome::Unknown, |worker| worker.cancel(key))
     }
 
     /// Stops waiting for the response to a load order, on whichever transport it was sent.
     pub fn abandon_load_order(&mut self, worker: &str, order: u64) {
-        if let Some(worker) = self.0.get_mut(worker) {
+        if let Some(worker) = self.workers.get_mut(worker) {
             for transport in worker.transports_mut() {
                 transport.abandon_order(order);
             }
@@ -128,7 +138,7 @@
 
     /// Stops waiting for the response to a health check, on whichever transport it was sent.
     pub fn abandon_health_check(&mut self, worker: &str, check: u64) {
-        if let Some(worker) = self.0.get_mut(worker) {
+        if let Some(worker) = self.workers.get_mut(worker) {
             for transport in worker.transports_mut() {
                 transport.abandon_health_check(check);
             }
@@ -145,7 +155,7 @@
     /// Makes the keepalive check: probes the connections on which responses are overdue, and closes those on which a
     /// probe is not answered.
     pub fn check_keepalive(&mut self) {
-        for worker in self.0.values_mut() {
+        for worker in self.workers.values_mut() {
             for transport in worker.transports_mut() {
                 transport.check_keepalive();
             }
@@ -154,7 +164,7 @@
 
     /// Closes connections past their idle timeout.
     pub fn close_idle_connections(&mut self) {
-        for worker in self.0.values_mut() {
+        for worker in self.workers.values_mut() {
             worker.close_idle_connections();
         }
     }
@@ -162,7 +172,7 @@
     /// Removes the workers that are gone and have no connection left, and returns their ids.
     pub fn remove_gone(&mut self) -> Vec<String> {
         let mut removed = Vec::new();
-        self.0.retain(|id, worker| {
+        self.workers.retain(|id, worker| {
             let keep = worker.endpoint.state != WorkerState::Gone || !worker.is_idle();
             if !keep {
                 removed.push(id.clone());
@@ -172,20 +182,26 @@
         removed
     }
 
-    /// Whether an attempt at this worker has a connection to use or may open one, with `clients` client connections
-    /// open. If descriptors are short, the connections that have been idle longest are closed to allow it, whichever
-    /// workers they lead to.
+    /// Whether an exchange with this worker has a connection to use or may open one, with `clients` client connections
+    /// open. `call` is the id of a call, `None` for other exchanges. If descriptors are short, the connections that have
+    /// been idle longest are closed to allow it, whichever workers they lead to.
     pub fn ensure_connection_available(
         &mut self,
         worker: &str,
+        call: Option<u64>,
         pool_limit: PoolLimit,
         clients: usize,
     ) -> bool {
-        let needs_connection = self
-            .0
-            .get(worker)
-            .is_some_and(|worker| worker.transport.connections().next_attempt_opens);
-        !needs_connection || self.trim_idle_connections(1, pool_limit, clients)
+        let needs_connection = self.workers.get(worker).is_some_and(|worker| {
+            let transport = &worker.transport;
+            call.map_or_else(
+                || transport.connections().next_attempt_opens,
+                |id| transport.call_opens_connection(id),
+            )
+        });
+        !needs_connection
+            || self.trim_idle_connections(1, pool_limit, clients)
+                && pool_limit.allows_another(self.gauge.open(), clients)
     }
 
     /// Closes the connections that have been idle longest until `more` may be opened, with `clients` client connections
@@ -205,7 +221,7 @@
             return true;
         }
         let idle = self
-            .0
+            .workers
             .iter()
             .filter_map(|(id, worker)| {
                 Some(IdleConnection {
@@ -225,7 +241,7 @@
 
     /// Connections to workers that are established or being established.
     pub fn connections(&self) -> usize {
-        self.0
+        self.workers
             .values()
             .flat_map(Worker::transports)
             .map(|transport| transport.connections().open)
--- a/wrenseam/src/worker/frames/mod.rs
+++ b/wrenseam/src/worker/frames/mod.rs
@@ -16,10 +16,11 @@
 pub use writer::WriteError;
 
 use super::dispatch::Dispatch;
+use super::pool::ConnectionGauge;
 use super::{log_lines, order_start_deadline};
 use super::{AttemptLimits, CancelOutcome, ConnectionUsage, Transport};
 use crate::limits::Limits;
-use crate::model::{AttemptKey, Request};
+use crate::model::{AttemptKey, AttemptReport, Request};
 use crate::net::{spawn, DirectCalls, SystemCalls};
 use crate::queue::CoreHandle;
 use connection::ConnectionState;
@@ -30,7 +31,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use wrenseam_policy::FunctionId;
+use wrenseam_policy::{FunctionId, Outcome};
 use writer::Writer;
 
 /// The function of exchanges that concern no function.
@@ -40,6 +41,10 @@
 /// random.
 const FIRST_ORDER_ID: u64 = u64::MAX;
 
+/// A call is not sent if this many open connections to its worker have its id reserved: a client that sends one id again
+/// and again would otherwise open a connection each time.
+const MAX_CONNECTIONS_PER_ID: usize = 2;
+
 /// At most this many check intervals of the time between two keepalive checks count as silence of the worker. A longer
 /// gap means that the core itself was delayed.
 const MAX_COUNTED_INTERVALS: u64 = 2;
@@ -50,6 +55,7 @@
     limits: Arc<Limits>,
     reports: CoreHandle,
     calls: Arc<dyn SystemCalls>,
+    gauge: ConnectionGauge,
     connections: Vec<ConnectionHandle>,
     last_keepalive_check: Option<Instant>,
 }
@@ -62,6 +68,7 @@
             limits,
             reports,
             calls: Arc::new(DirectCalls),
+            gauge: ConnectionGauge::default(),
             connections: Vec::new(),
             last_keepalive_check: None,
         }
@@ -73,6 +80,24 @@
         Frames { calls, ..self }
     }
 
+    /// Counts the connections in `gauge`, which other transports may share.
+    #[must_use]
+    pub fn with_gauge(self, gauge: ConnectionGauge) -> Self {
+        Frames { gauge, ..self }
+    }
+
+    /// Whether so many connections have this id reserved that a call with it is not sent.
+    fn is_id_exhausted(&self, id: u64) -> bool {
+        let has_reserved =
+            |connection: &&ConnectionHandle| !connection.is_closed() && connection.has_reserved(id);
+        let has_usable = self
+            .connections
+            .iter()
+            .any(|connection| connection.is_usable(&self.limits) && !connection.has_reserved(id));
+        let reserving = self.connections.iter().filter(has_reserved).count();
+        !has_usable && reserving >= MAX_CONNECTIONS_PER_ID
+    }
+
     /// Returns a connection with capacity for another exchange, a new one if there is none. A connection on which `id`
     /// is still reserved is not chosen: a late or duplicate response to the earlier exchange with this id would be
     /// matched to the new one.
@@ -105,6 +130,7 @@
             calls: self.calls.clone(),
             outgoing: Outgoing::new(state.clone(), reports, self.limits.worker_ring_bytes),
             close_requests: Vec::new(),
+            counted: Arc::new(self.gauge.count()),
         };
         if let Err(error) = spawn(self.limits.coroutine_stack_bytes, move || {
             writer.run(&commands)
@@ -139,6 +165,11 @@
 impl Transport for Frames {
     fn send(&mut self, key: AttemptKey, request: &Arc<Request>, limits: AttemptLimits) {
         let id = request.wire_id;
+        if self.is_id_exhausted(id) {
+            log_limited!("{}", log_lines::id_exhausted(self.address, id));
+            let report = AttemptReport::without_payload(Outcome::NotSent);
+            return self.reports.attempt_ended(key, report);
+        }
         let frame = codec::call(request, limits);
         let dispatch = Dispatch::for_attempt(request, limits, Instant::now());
         // The client may reuse the id while it waits, and responses to the id may come a little later still.
@@ -250,6 +281,13 @@
         }
     }
 
+    fn call_opens_connection(&self, id: u64) -> bool {
+        let takes_call = |connection: &ConnectionHandle| {
+            connection.is_usable(&self.limits) && !connection.has_reserved(id)
+        };
+        !self.connections.iter().any(takes_call) && !self.is_id_exhausted(id)
+    }
+
     fn idle_since(&self) -> Option<Instant> {
         self.connections
             .iter()
--- a/wrenseam/src/worker/frames/reader.rs
+++ b/wrenseam/src/worker/frames/reader.rs
@@ -1,4 +1,5 @@
 //! The reading side of one connection to a worker: reads responses and matches them to exchanges.
+use super::super::pool::CountedConnection;
 use super::super::socket::has_no_unread_input;
 use super::super::{log_lines, replica_loaded};
 use super::codec::{Decoder, Frame, FrameError, ResponseCode};
@@ -42,6 +43,8 @@
     state: Arc<ConnectionState>,
     reports: CoreHandle,
     limits: Arc<Limits>,
+    /// Counts the connection until both directions are closed.
+    _counted: Arc<CountedConnection>,
 }
 
 impl ResponseReader {
@@ -50,6 +53,7 @@
         state: Arc<ConnectionState>,
         reports: CoreHandle,
         limits: Arc<Limits>,
+        counted: Arc<CountedConnection>,
     ) -> Self {
         ResponseReader {
             stream,
@@ -58,6 +62,7 @@
             state,
             reports,
             limits,
+            _counted: counted,
         }
     }
 
--- a/wrenseam/src/worker/frames/writer.rs
+++ b/wrenseam/src/worker/frames/writer.rs
@@ -1,6 +1,7 @@
 //! The writing side of one connection to a worker: establishes it and writes frames to it.
 use super::super::dispatch::CLIENT_INPUT_WAIT;
 use super::super::log_lines;
+use super::super::pool::CountedConnection;
 use super::super::socket::{has_no_unread_input, stalled_write_pause};
 use super::connection::ConnectionState;
 use super::exchange::Command;
@@ -54,6 +55,8 @@
     /// Close requests of the keepalive check that the writer has not handled yet: the connection must have been silent
     /// since.
     pub(super) close_requests: Vec<Instant>,
+    /// Counts the connection until both directions are closed.
+    pub(super) counted: Arc<CountedConnection>,
 }
 
 impl Writer {
@@ -108,6 +111,7 @@
             self.state.clone(),
             self.reports.clone(),
             self.limits.clone(),
+            self.counted.clone(),
         );
         spawn(self.limits.coroutine_stack_bytes, move || {
             reader.run(address)
--- a/wrenseam/src/worker/log_lines.rs
+++ b/wrenseam/src/worker/log_lines.rs
@@ -13,6 +13,16 @@
     })
 }
 
+/// A call was not sent, as its id was used on several connections to this worker that may still receive responses to it.
+pub fn id_exhausted(address: SocketAddr, id: u64) -> impl Display {
+    fmt::from_fn(move |formatter| {
+        write!(
+            formatter,
+            "worker {address}: request {id:016x} not sent: responses to an earlier request with this id may still arrive"
+        )
+    })
+}
+
 /// A connection could not be established, or its writing side ended with an error.
 pub fn connection_ended(address: SocketAddr, reason: &dyn Display) -> impl Display + '_ {
     fmt::from_fn(move |formatter| write!(formatter, "worker {address}: connection ended: {reason}"))
--- a/wrenseam/src/worker/mod.rs
+++ b/wrenseam/src/worker/mod.rs
@@ -11,6 +11,7 @@
 use crate::model::{AttemptKey, Request, TransportProtocol};
 use crate::net::SystemCalls;
 use crate::queue::CoreHandle;
+use pool::ConnectionGauge;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
@@ -102,6 +103,10 @@
     fn connections(&self) -> ConnectionUsage {
         ConnectionUsage::default()
     }
+    /// Whether a call with this id, sent now, would open another connection.
+    fn call_opens_connection(&self, _id: u64) -> bool {
+        self.connections().next_attempt_opens
+    }
     /// When the connection that has been idle longest became idle; `None` if no connection is idle.
     fn idle_since(&self) -> Option<Instant> {
         None
@@ -110,20 +115,23 @@
     fn close_idle(&mut self) {}
 }
 
-/// Creates the transport for a worker's protocol.
+/// Creates the transport for a worker's protocol. It counts its connections in `gauge`, unless it bounds their number by
+/// itself.
 pub fn transport(
     protocol: TransportProtocol,
     address: SocketAddr,
     limits: &Arc<Limits>,
     reports: &CoreHandle,
     calls: &Arc<dyn SystemCalls>,
+    gauge: &ConnectionGauge,
 ) -> Box<dyn Transport> {
     let limits = limits.clone();
     let reports = reports.clone();
     let calls = calls.clone();
     match protocol {
         TransportProtocol::Frames => {
-            Box::new(frames::Frames::new(address, limits, reports).with_calls(calls))
+            let frames = frames::Frames::new(address, limits, reports).with_calls(calls);
+            Box::new(frames.with_gauge(gauge.clone()))
         }
         TransportProtocol::Kserve => {
             Box::new(kserve::Kserve::new(address, limits, reports).with_calls(calls))
--- a/wrenseam/src/worker/pool.rs
+++ b/wrenseam/src/worker/pool.rs
@@ -5,6 +5,9 @@
 //! seldom has attempts for all of them at once. So idle connections are kept while descriptors are plentiful, and those
 //! that have been idle longest are closed when descriptors run short.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+
 /// Descriptors of a connection to a client or a worker: one for each direction.
 pub const DESCRIPTORS_PER_CONNECTION: usize = 2;
 
@@ -16,6 +19,33 @@
 /// connections that are being closed.
 const SPARE_DIVISOR: usize = 16;
 
+/// Counts the worker connections of a process whose descriptors are open, including those that are being closed.
+#[derive(Clone, Debug, Default)]
+pub struct ConnectionGauge(Arc<AtomicUsize>);
+
+impl ConnectionGauge {
+    /// The number of connections that are counted.
+    pub fn open(&self) -> usize {
+        self.0.load(Ordering::Acquire)
+    }
+
+    /// Counts a connection until the returned value is dropped.
+    pub fn count(&self) -> CountedConnection {
+        self.0.fetch_add(1, Ordering::AcqRel);
+        CountedConnection(self.0.clone())
+    }
+}
+
+/// A connection that a [`ConnectionGauge`] counts. Dropped once the connection's descriptors are closed.
+#[derive(Debug)]
+pub struct CountedConnection(Arc<AtomicUsize>);
+
+impl Drop for CountedConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// The limit on worker connections.
 #[derive(Clone, Copy, Debug)]
 pub struct PoolLimit {
@@ -65,6 +95,12 @@
         free.max(self.reserved)
     }
 
+    /// Whether the descriptors allow another worker connection beside `open` ones, some of which may be closing, and
+    /// this many client connections. The spare ones may be used too.
+    pub fn allows_another(&self, open: usize, clients: usize) -> bool {
+        open < self.total.saturating_sub(clients).max(self.reserved)
+    }
+
     /// How many of the open worker connections must be closed before the additional ones may be opened.
     pub fn excess(&self, counts: ConnectionCounts) -> usize {
         let wanted = counts.open + counts.additional;
--- a/wrenseam/tests/common/program.rs
+++ b/wrenseam/tests/common/program.rs
@@ -29,6 +29,8 @@
     log: Option<Lines<BufReader<ChildStderr>>>,
     /// Set to have `forward_log` close the log after the next line.
     closes_log: Arc<AtomicBool>,
+    /// Set once the log is closed.
+    is_log_closed: Arc<AtomicBool>,
 }
 
 impl Program {
@@ -71,6 +73,7 @@
             child,
             log: Some(log),
             closes_log: Arc::default(),
+            is_log_closed: Arc::default(),
         }
     }
 
@@ -93,13 +96,17 @@
     pub(crate) fn forward_log(&mut self, label: String) {
         let log = self.log.take().expect("the log is not forwarded yet");
         let closes_log = self.closes_log.clone();
+        let is_log_closed = self.is_log_closed.clone();
         std::thread::spawn(move || {
-            for line in log.map_while(Result::ok) {
+            let mut log = log;
+            while let Some(Ok(line)) = log.next() {
                 eprintln!("  {label}: {line}");
                 if closes_log.load(Ordering::Acquire) {
-                    return;
+                    break;
                 }
             }
+            drop(log);
+            is_log_closed.store(true, Ordering::Release);
         });
     }
 
@@ -109,6 +116,12 @@
         self.closes_log.store(true, Ordering::Release);
     }
 
+    /// Whether the log is closed.
+    #[allow(dead_code, reason = "each test binary uses its own part")]
+    pub(crate) fn is_log_closed(&self) -> bool {
+        self.is_log_closed.load(Ordering::Acquire)
+    }
+
     /// Process id.
     pub(crate) fn pid(&self) -> u32 {
         self.child.id()
--- a/wrenseam/tests/platform/front_end.rs
+++ b/wrenseam/tests/platform/front_end.rs
@@ -117,6 +117,11 @@
         self.program.close_log();
     }
 
+    /// Whether the process's log is closed.
+    pub(crate) fn is_log_closed(&self) -> bool {
+        self.program.is_log_closed()
+    }
+
     /// Kills the process with SIGKILL.
     pub(crate) fn kill(&mut self) {
         self.program.kill();
--- a/wrenseam/tests/resource_limits.rs
+++ b/wrenseam/tests/resource_limits.rs
@@ -7,6 +7,7 @@
     DiscoveryService, EventLog, FrontEnd, FrontEndSettings, ProcessLimits, SimulatedWorker,
 };
 use rstest::rstest;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 const WORKERS: usize = 13;
@@ -22,6 +23,9 @@
 const KIB_PER_MB: u64 = 1024;
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Held by the test that runs: beside each other, the clients of several tests would slow each other down.
+static TURN: Mutex<()> = Mutex::new(());
+
 /// A front end process with workers that answer at once, and the most that it has used.
 struct Platform {
     log: EventLog,
@@ -29,10 +33,12 @@
     workers: Vec<SimulatedWorker>,
     front_end: FrontEnd,
     peak_descriptors: usize,
+    _turn: MutexGuard<'static, ()>,
 }
 
 impl Platform {
     fn start() -> Platform {
+        let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
         let (workers, log) = start_workers(WORKERS, Duration::ZERO);
         let discovery = DiscoveryService::start(&log);
         let settings = FrontEndSettings {
@@ -48,6 +54,7 @@
             workers,
             front_end,
             peak_descriptors: 0,
+            _turn: turn,
         }
     }
 
@@ -169,8 +176,12 @@
     let mut platform = Platform::start();
     platform.front_end.close_log();
     let garbage = AbusiveClients::start(Abuse::SendsGarbage, 1, platform.front_end.address, 1);
+    wait_until("the log is closed", Duration::from_secs(10), || {
+        platform.front_end.is_log_closed()
+    });
+    let count = garbage.count();
     wait_until("garbage is answered", Duration::from_secs(10), || {
-        garbage.count() > 20
+        garbage.count() > count + 20
     });
     garbage.stop();
     platform.workers[0].drain();
--- a/wrenseam/tests/transport.rs
+++ b/wrenseam/tests/transport.rs
@@ -15,6 +15,7 @@
 use wrenseam::model::{AttemptKey, Payload, Request};
 use wrenseam::queue::Message;
 use wrenseam::worker::frames::{encode, Frames};
+use wrenseam::worker::pool::ConnectionGauge;
 use wrenseam::worker::{AttemptLimits, CancelOutcome, ConnectionUsage, Transport};
 use wrenseam_policy::Outcome;
 
@@ -462,3 +463,44 @@
         .read_exact(&mut frame)
         .expect("the next order");
 }
+
+/// Answers to the first calls with an id may still arrive on their connections, so each further call with it needs a
+/// connection without it; after the second one the call is not sent. Other calls are not affected.
+#[test]
+fn a_repeated_call_id_opens_at_most_two_connections() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let (mut transport, reports) = frames_transport(address, |_| {});
+    let gauge = ConnectionGauge::default();
+    transport = transport.with_gauge(gauge.clone());
+    let limits = AttemptLimits::with_timeout(LONG_TIMEOUT);
+    let mut streams = Vec::new();
+    for _ in 0..2 {
+        assert!(transport.call_opens_connection(9));
+        transport.send(FIRST_ATTEMPT, &request(9), limits);
+        let (mut stream, _) = listener.accept().expect("a connection");
+        assert_eq!(read_id_and_code(&mut stream), (9, CODE_CALL));
+        send_answer(&mut stream, CODE_REJECTED, 9, "", b"");
+        assert_eq!(next_outcome(&reports), (0, Outcome::Rejected));
+        streams.push(stream);
+    }
+    assert!(!transport.call_opens_connection(9));
+    transport.send(SECOND, &request(9), limits);
+    assert_eq!(next_outcome(&reports), (1, Outcome::NotSent));
+    assert!(!transport.call_opens_connection(10));
+    assert_eq!(transport.connections().open, 2);
+    assert_eq!(gauge.open(), 2);
+    transport.close_idle();
+    transport.close_idle();
+    for stream in &mut streams {
+        assert_eq!(stream.read(&mut [0]).expect("closed"), 0);
+    }
+    let since = Instant::now();
+    while gauge.open() > 0 {
+        assert!(
+            since.elapsed() < Duration::from_secs(10),
+            "descriptors stay open"
+        );
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
--- a/wrenseam/tests/worker_log_lines.rs
+++ b/wrenseam/tests/worker_log_lines.rs
@@ -15,6 +15,7 @@
 fn lines_name_the_worker_and_the_reason() {
     let lines = [
         log_lines::coroutine_not_started(address(), &"no memory").to_string(),
+        log_lines::id_exhausted(address(), 0xbeef).to_string(),
         log_lines::connection_ended(address(), &"timeout").to_string(),
         log_lines::connection_closed(address(), &"reset").to_string(),
         log_lines::keepalive_timed_out(address()).to_string(),
@@ -26,6 +27,8 @@
         lines,
         [
             "worker 10.0.0.7:9000: coroutine not started: no memory",
+            "worker 10.0.0.7:9000: request 000000000000beef not sent: responses to an earlier request with this id may \
+             still arrive",
             "worker 10.0.0.7:9000: connection ended: timeout",
             "worker 10.0.0.7:9000: connection closed: reset",
             "worker 10.0.0.7:9000: connection closed: keepalive timed out",
--- a/wrenseam/tests/worker_table.rs
+++ b/wrenseam/tests/worker_table.rs
@@ -265,3 +265,21 @@
         "at most four may be open"
     );
 }
+
+#[test]
+fn connections_that_are_being_closed_count_against_the_descriptors() {
+    let calls = Calls::default();
+    let mut table = WorkerTable::default();
+    connect(&mut table, "w1", FakeTransport::new("ready", &calls));
+    let pool = PoolLimit::new(64, 64); // all descriptors are reserved, so only the minimum of four connections is left
+    let gauge = table.gauge();
+    let mut closing: Vec<_> = (0..4).map(|_| gauge.count()).collect();
+    let clients = 0;
+    for call in [None, Some(9)] {
+        assert!(!table.ensure_connection_available("w1", call, pool, clients));
+    }
+    closing.pop();
+    for call in [None, Some(9)] {
+        assert!(table.ensure_connection_available("w1", call, pool, clients));
+    }
+}
