--- a/wrenseam/src/worker/frames/connection.rs
+++ b/wrenseam/src/worker/frames/connection.rs
@@ -4,7 +4,7 @@
 use crate::model::AttemptReport;
 use crate::queue::CoreHandle;
 use may::sync::Mutex;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{fence, AtomicBool, AtomicUsize, Ordering};
 use std::time::Instant;
 use wrenseam_policy::readiness_lease::HealthCheckResult;
 use wrenseam_policy::Outcome;
@@ -45,6 +45,13 @@
         self.closed.load(Ordering::Acquire)
     }
 
+    /// Whether the connection has ended, asked after something was handed to its writer. If it had not, the writer still
+    /// finds in its queue what was handed over.
+    pub(super) fn is_closed_after_handover(&self) -> bool {
+        fence(Ordering::SeqCst);
+        self.is_closed()
+    }
+
     /// Whether the worker is draining or gone.
     pub(super) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
@@ -104,6 +111,8 @@
     /// by now never runs.
     pub(super) fn close(&self, reports: &CoreHandle) {
         self.closed.store(true, Ordering::Release);
+        // Pairs with the fence of `is_closed_after_handover`: whoever reads second sees what the other has written.
+        fence(Ordering::SeqCst);
         let open = {
             let Ok(mut table) = self.table.lock() else {
                 return;
--- a/wrenseam/src/worker/frames/handle.rs
+++ b/wrenseam/src/worker/frames/handle.rs
@@ -7,11 +7,12 @@
 use super::keepalive::{Keepalive, KeepaliveAction, Observation};
 use crate::limits::Limits;
 use crate::net::next_connection_number;
+use crate::queue::CoreHandle;
 use may::sync::mpsc::Sender;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use wrenseam_policy::FunctionId;
+use wrenseam_policy::{FunctionId, Outcome};
 
 /// Ids of keepalive probes count down from here. The ids of load orders and health checks count down from the end of
 /// the range, and clients draw the ids of calls at random.
@@ -21,6 +22,7 @@
 pub(super) struct ConnectionHandle {
     commands: Sender<Command>,
     state: Arc<ConnectionState>,
+    reports: CoreHandle,
     last_used_at: Instant,
     keepalive: Keepalive,
     /// The dispatches of exchanges, by which they can be reclaimed before they are started.
@@ -30,10 +32,15 @@
 }
 
 impl ConnectionHandle {
-    pub(super) fn new(commands: Sender<Command>, state: Arc<ConnectionState>) -> Self {
+    pub(super) fn new(
+        commands: Sender<Command>,
+        state: Arc<ConnectionState>,
+        reports: CoreHandle,
+    ) -> Self {
         ConnectionHandle {
             commands,
             state,
+            reports,
             last_used_at: Instant::now(),
             keepalive: Keepalive::default(),
             dispatches: HashMap::new(),
@@ -85,17 +92,22 @@
         self.last_used_at = Instant::now();
     }
 
-    /// Hands an exchange to the writer.
+    /// Hands an exchange to the writer. If the writer has ended, the exchange ends here.
     pub(super) fn open(&mut self, exchange: NewExchange) {
+        let kind = exchange.kind;
+        let dispatch = exchange.dispatch.clone();
         self.state.count_opened();
-        self.dispatches
-            .insert(exchange.kind, exchange.dispatch.clone());
+        self.dispatches.insert(kind, dispatch.clone());
         self.write(Outbound::Open(exchange));
+        if self.state.is_closed_after_handover() && dispatch.end() {
+            self.state
+                .report_end(&self.reports, kind, Outcome::ConnectFailed);
+        }
     }
 
     /// Hands something to the writer.
     pub(super) fn write(&self, outbound: Outbound) {
-        // Fails if the writer has ended. The writer ends what was open by then, and the core's timers end the rest.
+        // Fails if the writer has ended. The writer ends what was open by then, and `open` the rest.
         let _ = self.commands.send(Command::Write(outbound));
     }
 
--- a/wrenseam/src/worker/frames/mod.rs
+++ b/wrenseam/src/worker/frames/mod.rs
@@ -109,6 +109,8 @@
         let index = match found {
             Some(index) => index,
             None => {
+                self.connections
+                    .retain(|connection| !connection.is_closed());
                 self.connections.push(self.open_connection());
                 self.connections.len() - 1
             }
@@ -135,10 +137,10 @@
         if let Err(error) = spawn(self.limits.coroutine_stack_bytes, move || {
             writer.run(&commands)
         }) {
-            // The core's timers end the exchanges that are handed to this connection.
+            state.close(&self.reports);
             log_limited!("{}", log_lines::coroutine_not_started(self.address, &error));
         }
-        ConnectionHandle::new(sender, state)
+        ConnectionHandle::new(sender, state, self.reports.clone())
     }
 
     fn cancel_exchange(&mut self, kind: ExchangeKind) -> CancelOutcome {
--- a/wrenseam/src/worker/frames/writer.rs
+++ b/wrenseam/src/worker/frames/writer.rs
@@ -60,15 +60,15 @@
 }
 
 impl Writer {
-    /// Writes until the connection ends, then ends everything that is queued or still handed over.
+    /// Writes until the connection ends, then ends everything that is queued.
     pub(super) fn run(mut self, commands: &Receiver<Command>) {
         if let Err(reason) = self.connect_and_write(commands) {
             log_limited!("{}", log_lines::connection_ended(self.address, &reason));
         }
         self.state.close(&self.reports);
         self.outgoing.end_all();
-        // Ends once the core has dropped its handle of the closed connection, at its next sweep.
-        while let Ok(command) = commands.recv() {
+        // What is handed over from now on is ended by `ConnectionHandle::open`.
+        while let Ok(command) = commands.try_recv() {
             if let Command::Write(outbound) = command {
                 self.outgoing.end_after_close(outbound);
             }
--- a/wrenseam/tests/transport.rs
+++ b/wrenseam/tests/transport.rs
@@ -504,3 +504,39 @@
         std::thread::sleep(Duration::from_millis(1));
     }
 }
+
+/// Each call to a worker that refuses connections opens one. It ends with the refusal, not with the next sweep: at the
+/// rate of calls, ended connections would take up memory and the connections of other workers.
+#[test]
+fn a_refused_connection_ends_at_once() {
+    let refusing = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = refusing.local_addr().expect("bound");
+    drop(refusing);
+    let (transport, reports) = frames_transport(address, |_| {});
+    let gauge = ConnectionGauge::default();
+    let mut transport = transport.with_gauge(gauge.clone());
+    let limits = AttemptLimits::with_timeout(LONG_TIMEOUT);
+    for attempt in 0..200 {
+        let key = AttemptKey {
+            request: 1,
+            attempt,
+        };
+        transport.send(key, &request(attempt as u64), limits);
+        let refused = reports.recv_timeout(Duration::from_secs(20));
+        assert!(matches!(
+            refused,
+            Ok(Message::WorkerConnectionEnded { refused: true, .. })
+        ));
+        assert_eq!(next_outcome(&reports), (attempt, Outcome::ConnectFailed));
+    }
+    let since = Instant::now();
+    while gauge.open() > 0 {
+        assert!(
+            since.elapsed() < Duration::from_secs(10),
+            "{} connections have not ended",
+            gauge.open()
+        );
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    assert_eq!(transport.connections().open, 0);
+}
