A log that cannot be written no longer ends the process

Once the reader of the log has gone, the next line of the core ended the front end by SIGABRT.

Cause: eprintln! panics when standard error cannot be written (a closed pipe, a full one that does not block, a full file system); in the core's thread a panic is an abort (server.rs, run_or_abort), in a coroutine it ends a client's connection under its requests.

Change: all lines go through log::write_line, which drops a line that cannot be written; clippy::print_stderr is denied in the program so that no new one comes in. Not changed: a reader that leaves the pipe full still blocks the writer (open risk).

--- a/wrenseam/src/core/admin.rs
+++ b/wrenseam/src/core/admin.rs
@@ -67,7 +67,7 @@
     fn exclude(&mut self, id: String) -> AdminReply {
         match self.membership.exclude(&id) {
             Ok(changes) => {
-                eprintln!("{}", LogLine::Excluded(&id));
+                log_line!("{}", LogLine::Excluded(&id));
                 self.apply_changes(changes);
                 AdminReply::Excluded(id)
             }
@@ -79,7 +79,7 @@
     fn include(&mut self, id: String) -> AdminReply {
         match self.membership.include(&id, self.clock.now()) {
             Ok(changes) => {
-                eprintln!("{}", LogLine::Included(&id));
+                log_line!("{}", LogLine::Included(&id));
                 self.apply_changes(changes);
                 AdminReply::Included(id)
             }
@@ -90,7 +90,7 @@
     /// Starts to drain: the front end reports that it is not ready, and client connections close once they are idle.
     fn evacuate(&mut self) -> AdminReply {
         if !self.process_state.draining.swap(true, Ordering::AcqRel) {
-            eprintln!("{}", LogLine::Draining);
+            log_line!("{}", LogLine::Draining);
         }
         AdminReply::DrainStarted
     }
@@ -98,7 +98,7 @@
     /// Ends the drain: the front end accepts clients again.
     fn activate(&mut self) -> AdminReply {
         if self.process_state.draining.swap(false, Ordering::AcqRel) {
-            eprintln!("{}", LogLine::Activated);
+            log_line!("{}", LogLine::Activated);
         }
         AdminReply::Ready
     }
--- a/wrenseam/src/core/endpoints.rs
+++ b/wrenseam/src/core/endpoints.rs
@@ -32,7 +32,7 @@
     /// Logs changes of the endpoint list and applies them to the workers' transports and to the policy's list.
     pub(super) fn apply_changes(&mut self, changes: Vec<Change>) {
         for change in &changes {
-            eprintln!("{}", LogLine::EndpointChanged(&change.endpoint));
+            log_line!("{}", LogLine::EndpointChanged(&change.endpoint));
         }
         self.apply_readiness_changes(changes);
     }
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -2,6 +2,7 @@
 //! docs/architecture.md describes the path of a request through them.
 #![deny(unsafe_code)] // `front::close` has the only exception and states the reason
 #![warn(missing_docs)]
+#![deny(clippy::print_stderr)] // panics if standard error cannot be written; `log_line!` does not
 
 #[macro_use]
 pub mod log;
--- a/wrenseam/src/log.rs
+++ b/wrenseam/src/log.rs
@@ -1,9 +1,17 @@
-//! Rate limit for log lines that clients, workers or the discovery service can cause: a few lines per second of each
-//! kind, then a count of the lines left out.
+//! The log, which is standard error, and the rate limit for lines that clients, workers or the discovery service can
+//! cause: a few lines per second of each kind, then a count of the lines left out.
 use std::fmt::Arguments;
+use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
+/// Writes a line to standard error. One that cannot be written is lost: its reader may have gone, and `eprintln!` would
+/// panic.
+pub fn write_line(text: Arguments) {
+    let line = format!("{text}\n");
+    let _ = std::io::stderr().write_all(line.as_bytes());
+}
+
 /// The most lines of one kind that are written in one second.
 const LINES_PER_SECOND: u64 = 5;
 
@@ -32,7 +40,7 @@
             .duration_since(UNIX_EPOCH)
             .map_or(0, |since_epoch| since_epoch.as_secs());
         if let Some(line) = self.admit(second, text) {
-            eprintln!("{line}");
+            write_line(format_args!("{line}"));
         }
     }
 
@@ -58,6 +66,14 @@
     }
 }
 
+/// Writes a log line. The arguments are those of `format!`.
+#[macro_export]
+macro_rules! log_line {
+    ($($text:tt)*) => {
+        $crate::log::write_line(format_args!($($text)*))
+    };
+}
+
 /// Writes a log line that a client, a worker or the discovery service can cause, limited in rate for each place of use;
 /// see [`RateLimitedLine`](crate::log::RateLimitedLine). The arguments are those of `format!`.
 #[macro_export]
--- a/wrenseam/src/main.rs
+++ b/wrenseam/src/main.rs
@@ -25,7 +25,7 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("{command}: {error}");
+            wrenseam::log_line!("{command}: {error}");
             ExitCode::FAILURE
         }
     }
--- a/wrenseam/src/server.rs
+++ b/wrenseam/src/server.rs
@@ -53,7 +53,7 @@
 
 fn log_config_faults(config: &Config) {
     for fault in &config.faults {
-        eprintln!("settings: {fault}; taken as not stated");
+        log_line!("settings: {fault}; taken as not stated");
     }
 }
 
@@ -137,7 +137,7 @@
             self.limits.coroutine_stack_bytes,
         )
         .map_err(|error| StartError::Gossip(error.into()))?;
-        eprintln!("start: gossip listens on {address}");
+        log_line!("start: gossip listens on {address}");
         Ok(())
     }
 
@@ -283,5 +283,5 @@
     let address = listener
         .local_addr()
         .map_or("?".to_owned(), |address| address.to_string());
-    eprintln!("start: {name} listens on {address}");
+    log_line!("start: {name} listens on {address}");
 }
--- a/wrenseam/src/shutdown.rs
+++ b/wrenseam/src/shutdown.rs
@@ -44,7 +44,7 @@
     close_listeners(listeners, context);
     close_connections(context);
     let open_requests = context.process_state.open_requests.load(Ordering::Acquire);
-    eprintln!("{}", messages::shutdown_complete(open_requests));
+    log_line!("{}", messages::shutdown_complete(open_requests));
 }
 
 /// Handles SIGHUP until another signal arrives.
@@ -61,7 +61,7 @@
         // If the file is missing or half written, the previous configuration stays in force.
         match Config::discovery_service_now() {
             Ok(address) => reload(address, settings_digest, context, discovery),
-            Err(error) => eprintln!("{}", messages::configuration_unchanged(&error)),
+            Err(error) => log_line!("{}", messages::configuration_unchanged(&error)),
         }
     }
 }
@@ -73,7 +73,7 @@
     context: &ListenerContext,
     discovery: &DiscoveryAddress,
 ) {
-    eprintln!("{}", messages::discovery_moved(address));
+    log_line!("{}", messages::discovery_moved(address));
     let digest = Config::configuration_digest(settings_digest, Some(address));
     let config_digest = &context.process_state.config_digest;
     config_digest.store(digest, Ordering::Release);
@@ -91,7 +91,7 @@
 fn start_draining(context: &ListenerContext) {
     let _ = admin::send_command(context, AdminCommand::Evacuate); // the shutdown continues without the core's reply
     let message = messages::shutdown_started(context.limits.listener_close_delay);
-    eprintln!("{message}");
+    log_line!("{message}");
 }
 
 /// Serves as usual for the grace period, in which the gateway may still open connections and send requests.
