A coroutine without memory for its stack is an error, not the end of the process

Cause: net::spawn says that it returns an error if there is no memory for the stack, and its callers handle one, but may panics there (failed to alloc sys stack). In the core's thread, which starts connections to workers, a panic ends the process.

Change: net::spawn turns that panic into an error of kind OutOfMemory. Nothing has been started by then, and the closure is dropped.

Evidence: a_coroutine_whose_stack_cannot_be_allocated_is_an_error failed before with that panic, passes now.

--- a/wrenseam/src/net/mod.rs
+++ b/wrenseam/src/net/mod.rs
@@ -15,7 +15,8 @@
 pub use outbox::Outbox;
 pub use slots::{ConnectionSlot, ConnectionSlots, SlotGuard};
 
-use std::io;
+use std::io::{self, ErrorKind};
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -32,9 +33,13 @@
 /// # Errors
 /// There is no memory for the stack.
 pub fn spawn(stack: usize, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
-    // A panic leaves no shared state half updated: the state of each connection belongs to its own coroutines.
-    let builder = may::coroutine::Builder::new().stack_size(stack / size_of::<usize>());
-    may::go!(builder, run).map(|_| ())
+    // `may` panics if it cannot allocate the stack. Nothing has been started or changed by then.
+    let start = AssertUnwindSafe(|| {
+        // A panic leaves no shared state half updated: the state of each connection belongs to its own coroutines.
+        let builder = may::coroutine::Builder::new().stack_size(stack / size_of::<usize>());
+        may::go!(builder, run).map(|_| ())
+    });
+    catch_unwind(start).unwrap_or_else(|_| Err(ErrorKind::OutOfMemory.into()))
 }
 
 /// Suspends the calling coroutine for `duration`; the scheduler runs other coroutines meanwhile.
--- a/wrenseam/tests/waits.rs
+++ b/wrenseam/tests/waits.rs
@@ -1,5 +1,6 @@
 //! The thread in which a coroutine continues after a wait: the scheduler's, never the timer thread.
 use rstest::rstest;
+use std::io::ErrorKind;
 use std::sync::mpsc::channel;
 use std::thread::{current, ThreadId};
 use std::time::Duration;
@@ -7,6 +8,11 @@
 
 const WAIT: Duration = Duration::from_millis(1);
 
+/// Configures the scheduler as the program does. Each test calls it first, as the first coroutine fixes the configuration.
+fn configure_scheduler() {
+    may::config().set_workers(1).set_worker_pin(false);
+}
+
 fn receive_nothing() {
     let (_sender, queue) = may::sync::mpsc::channel::<()>();
     assert!(queue.recv_timeout(WAIT).is_err());
@@ -19,7 +25,7 @@
 #[case::sleep(|| sleep(WAIT))]
 #[case::receive_timeout(receive_nothing)]
 fn a_coroutine_continues_in_the_schedulers_thread_after_a_wait(#[case] wait: fn()) {
-    may::config().set_workers(1).set_worker_pin(false); // as the program has it
+    configure_scheduler();
     let (sender, threads) = channel::<(ThreadId, ThreadId)>();
     spawn(64 * 1024, move || {
         let before = current().id();
@@ -34,3 +40,12 @@
         .expect("the wait ends");
     assert_eq!(before, after);
 }
+
+/// The core starts coroutines for connections to workers, and a panic of the core ends the process.
+#[test]
+fn a_coroutine_whose_stack_cannot_be_allocated_is_an_error() {
+    configure_scheduler();
+    let beyond_the_address_space = 1 << 46;
+    let error = spawn(beyond_the_address_space, || {}).expect_err("no memory for the stack");
+    assert_eq!(error.kind(), ErrorKind::OutOfMemory);
+}
