Unsent responses count with the memory they take, and an aborted connection takes no more

What callers saw: a front end at 155 MB (limit 48) beside four clients that send small records and read no answer.

Cause: the limits on unsent responses, of a connection and of the process, counted their bytes; an answer of 16 bytes takes about 90 in the queue, so 1 MiB of them took some 6 MB. Beyond the limit the connection was to close, but its reader went on answering until the writer gave up 5 s later, and each further answer put another command to close into the queue, without any bound.

Change: a queued response counts with what its queue entry takes (net/writer.rs, queued_size); an aborted connection queues nothing more and is read no further; it is told to close once.

--- a/wrenseam/src/front/connection.rs
+++ b/wrenseam/src/front/connection.rs
@@ -151,7 +151,7 @@
             self.close_gracefully();
             return Ok(Flow::Ended);
         }
-        if self.channel.out.is_closing() {
+        if self.is_closing() {
             return Ok(Flow::Ended);
         }
         Ok(Flow::Open)
@@ -178,7 +178,7 @@
         loop {
             fairness.record(self.ring.len() == self.ring.capacity());
             self.ring.truncate(0);
-            if self.channel.out.is_closing() {
+            if self.is_closing() {
                 return;
             }
             if matches!(
@@ -190,6 +190,11 @@
         }
     }
 
+    /// Whether the sending side closes the connection: what the client sends from now on could not be answered.
+    fn is_closing(&self) -> bool {
+        self.channel.out.is_closing() || self.channel.out.is_aborted()
+    }
+
     /// Half-closes the connection if a response may still be in flight, and it then lingers. Otherwise [`serve`] closes
     /// it without a linger.
     fn close_gracefully(&self) {
--- a/wrenseam/src/net/outbox.rs
+++ b/wrenseam/src/net/outbox.rs
@@ -1,5 +1,5 @@
 //! The sending side of a client connection: any thread queues responses, and a coroutine writes them.
-use super::writer::{ConnectionWriter, UnsentBytes, WriteCommand};
+use super::writer::{queued_size, ConnectionWriter, UnsentBytes, WriteCommand};
 use super::{messages, sleep, spawn, would_block, DirectCalls, SystemCalls};
 use crate::limits::Limits;
 use crate::memory_budget::MemoryBudget;
@@ -125,17 +125,20 @@
     /// Queues bytes for writing. If too many are unsent on this connection, or the memory budget is used up, the
     /// connection is aborted instead: a client that does not read its responses must not take memory from others.
     pub fn send(&self, bytes: Vec<u8>) {
-        let length = bytes.len();
-        let reserved = self.budget.reserve(length);
+        if self.is_aborted() {
+            return;
+        }
+        let size = queued_size(&bytes);
+        let reserved = self.budget.reserve(size);
         let unsent = self.unsent.on_connection();
-        if reserved.is_none() || unsent + length > self.unsent_limit {
+        if reserved.is_none() || unsent + size > self.unsent_limit {
             log_limited!("{}", messages::responses_unread(unsent));
             return self.abort();
         }
-        self.unsent.add(length);
+        self.unsent.add(size);
         let command = WriteCommand::Write { bytes, reserved };
         if self.commands.send(command).is_err() {
-            self.unsent.discard(length);
+            self.unsent.discard(size);
         }
     }
 
@@ -149,8 +152,9 @@
     /// Closes the connection once everything queued is written, without reading further. For connections without a
     /// pending request, or whose client has left or does not read its responses.
     pub fn abort(&self) {
-        self.close_state.is_aborted.store(true, Ordering::Release);
-        let _ = self.commands.send(WriteCommand::Close); // fails if the writer has ended: closed already
+        if !self.close_state.is_aborted.swap(true, Ordering::AcqRel) {
+            let _ = self.commands.send(WriteCommand::Close); // fails if the writer has ended: closed already
+        }
     }
 
     /// Closes the connection at once, unless it has unread input or unsent responses. Returns whether it is closed;
@@ -177,7 +181,8 @@
         self.close_state.has_writer_ended.load(Ordering::Acquire)
     }
 
-    fn is_aborted(&self) -> bool {
+    /// Whether the connection closes without a linger; nothing more is queued on it.
+    pub fn is_aborted(&self) -> bool {
         self.close_state.is_aborted.load(Ordering::Acquire)
     }
 
--- a/wrenseam/src/net/writer.rs
+++ b/wrenseam/src/net/writer.rs
@@ -13,6 +13,14 @@
 /// First pause after a write that would block. It doubles with each further one, up to `Limits::write_check_interval`.
 const FIRST_BACKOFF: Duration = Duration::from_millis(1);
 
+/// Memory that a queued response takes besides its bytes: its allocation, its entry in the queue and its reservation.
+const QUEUED_RESPONSE_OVERHEAD: usize = 128;
+
+/// The memory that a response takes while it is queued, in bytes.
+pub(super) fn queued_size(response: &[u8]) -> usize {
+    response.len() + QUEUED_RESPONSE_OVERHEAD
+}
+
 /// A command to the writer of a connection.
 pub(super) enum WriteCommand {
     /// Write these bytes.
@@ -28,7 +36,8 @@
     Close,
 }
 
-/// The numbers of bytes that are queued and not yet written, of one connection and of all.
+/// The memory of the responses that are queued and not yet written, of one connection and of all, in bytes; see
+/// [`queued_size`].
 #[derive(Clone)]
 pub(super) struct UnsentBytes {
     connection: Arc<AtomicUsize>,
@@ -105,7 +114,7 @@
         let _ = self.stream.shutdown(direction); // fails if the connection has ended by itself
         while let Ok(command) = queue.try_recv() {
             if let WriteCommand::Write { bytes, .. } = command {
-                self.unsent.discard(bytes.len());
+                self.unsent.discard(queued_size(&bytes));
             }
         }
     }
@@ -116,7 +125,7 @@
             match command {
                 WriteCommand::Write { bytes, reserved } => {
                     self.write_all(&bytes);
-                    self.unsent.subtract(bytes.len());
+                    self.unsent.subtract(queued_size(&bytes));
                     drop(reserved);
                 }
                 WriteCommand::HalfClose => return Shutdown::Write,
