The policy keeps a bounded number of functions that clients name

What callers saw: a front end's memory rose by 1.2 to 1.5 KB for each new function that a client names, some 30 s long each; with requests cancelled at once to 200 MB (limit 48) in 6 s.

Cause: the table of functions was bounded by time only (four keep-alives), while the number of functions in that time is the clients' to choose. Each also kept the order of all workers.

Change: beyond 4,096 functions (MAX_FUNCTIONS) the policy removes an eighth of them at once, of those of which nothing is in flight first the ones that no worker has served, then those called longest ago. The rendezvous orders of all functions together keep 2 million positions; beyond that they are computed anew. No decision changes below these bounds.

--- a/policy/src/function.rs
+++ b/policy/src/function.rs
@@ -9,6 +9,12 @@
 
 /// Time constant of the exponentially decaying rate of calls.
 pub(crate) const CALL_RATE_TIME_CONSTANT: Micros = 8 * crate::types::SECOND;
+/// Maximum number of functions that are kept, except that one with a request in flight is always kept.
+pub const MAX_FUNCTIONS: usize = 4_096;
+/// Number of functions that are removed at a time to make room for others.
+const REMOVED_AT_ONCE: usize = MAX_FUNCTIONS / 8;
+/// Maximum number of positions in the rendezvous orders that are kept of all functions together.
+const MAX_RANKED_POSITIONS: usize = 1 << 21;
 /// Maximum number of requests of a function that are kept until a worker has served it, when they are counted for the
 /// load budget: about as many as arrive for one function within the budget's window.
 const MAX_UNCOUNTED_REQUESTS: usize = 64;
@@ -179,11 +185,9 @@
         f64::from(requests.sum::<u32>())
     }
 
-    /// Whether the function may be removed: nothing of it is in flight, and it has not been called since.
-    fn is_unused_since(&self, time: Micros) -> bool {
-        self.waiting.is_empty()
-            && !self.replicas.values().any(ReplicaState::is_in_use)
-            && self.last_call <= time
+    /// Whether nothing of the function is in flight.
+    fn is_unused(&self) -> bool {
+        self.waiting.is_empty() && !self.replicas.values().any(ReplicaState::is_in_use)
     }
 }
 
@@ -196,6 +200,8 @@
     free: Vec<FunctionIndex>,
     /// Functions that may have waiting requests.
     with_waiting: BTreeSet<FunctionIndex>,
+    /// Positions in the rendezvous orders of all functions together.
+    ranked_positions: usize,
     latest: FunctionIndex,
 }
 
@@ -270,8 +276,9 @@
     /// Discards the rendezvous order of each function, since a worker took the position of another.
     pub(crate) fn invalidate_preferred_workers(&mut self) {
         for function in &mut self.functions {
-            function.preferred_workers.clear();
+            function.preferred_workers = Vec::new();
         }
+        self.ranked_positions = 0;
     }
 
     /// All workers in the rendezvous order of the function, highest weight first; recomputed by `rank` when the number
@@ -282,11 +289,16 @@
         workers: usize,
         rank: impl FnOnce(FunctionId) -> Vec<WorkerIndex>,
     ) -> Vec<WorkerIndex> {
-        let function = &mut self.functions[index.0];
-        if function.preferred_workers.len() != workers {
-            function.preferred_workers = rank(function.id);
+        if self.functions[index.0].preferred_workers.len() != workers {
+            if self.ranked_positions + workers > MAX_RANKED_POSITIONS {
+                self.invalidate_preferred_workers();
+            }
+            let function = &mut self.functions[index.0];
+            let former = std::mem::replace(&mut function.preferred_workers, rank(function.id));
+            self.ranked_positions += function.preferred_workers.len();
+            self.ranked_positions -= former.len();
         }
-        function.preferred_workers.clone()
+        self.functions[index.0].preferred_workers.clone()
     }
 
     /// Adds a request to those that wait for a replica of the function.
@@ -315,16 +327,37 @@
             .collect()
     }
 
-    /// Removes a function if it has not been called since `time` and nothing of it is in flight. Returns the workers at
-    /// which it had replica state.
-    pub(crate) fn forget_unused(&mut self, index: FunctionIndex, time: Micros) -> Vec<WorkerIndex> {
-        let function = &self.functions[index.0];
-        if !function.is_unused_since(time) || self.by_id.get(&function.id) != Some(&index) {
+    /// The functions of which nothing is in flight and that have not been called since `time`.
+    pub(crate) fn unused_since(&self, time: Micros) -> Vec<FunctionIndex> {
+        let is_unused = |index: &FunctionIndex| {
+            let function = &self.functions[index.0];
+            let is_known = self.by_id.get(&function.id) == Some(index);
+            is_known && function.last_call <= time && function.is_unused()
+        };
+        self.indexes().filter(is_unused).collect()
+    }
+
+    /// The functions to remove to make room for another one: none while there is room. Of those of which nothing is in
+    /// flight, functions that no worker has served come first, then those whose last call is longest ago.
+    pub(crate) fn removed_for_another(&self) -> Vec<FunctionIndex> {
+        if self.len() < MAX_FUNCTIONS {
             return Vec::new();
         }
-        self.by_id.remove(&function.id);
+        let mut unused = self.unused_since(Micros::MAX);
+        unused.sort_by_key(|index| {
+            let function = &self.functions[index.0];
+            (function.has_been_served, function.last_call)
+        });
+        unused.truncate(REMOVED_AT_ONCE);
+        unused
+    }
+
+    /// Removes a function of which nothing is in flight. Returns the workers at which it had replica state.
+    pub(crate) fn remove_unused(&mut self, index: FunctionIndex) -> Vec<WorkerIndex> {
+        let removed = std::mem::take(&mut self.functions[index.0]);
+        self.by_id.remove(&removed.id);
         self.free.push(index);
-        let forgotten = std::mem::take(&mut self.functions[index.0]);
-        forgotten.replicas.into_keys().collect()
+        self.ranked_positions -= removed.preferred_workers.len();
+        removed.replicas.into_keys().collect()
     }
 }
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -137,6 +137,7 @@
 pub use controller::{Controller, TableSizes};
 pub use endpoint::{Endpoint, WorkerState};
 pub use event::{AttemptResult, Event, NewRequest, Outcome};
+pub use function::MAX_FUNCTIONS;
 pub use settings::{ClassSettings, Idempotency, KeyScope, Settings, TenantSettings};
 pub use settings_json::{SettingsFault, ValueProblem};
 pub use types::{FunctionId, Micros, RequestId, WorkerId};
--- a/policy/src/request_lifecycle.rs
+++ b/policy/src/request_lifecycle.rs
@@ -99,6 +99,9 @@
     fn function_called(&mut self, now: Micros, new: &NewRequest, class: usize) -> FunctionIndex {
         let service_time = self.estimator.class_service_time(class);
         let load_time = new.load_time.min(MAX_DURATION) as f64;
+        if self.functions.find(new.function).is_none() {
+            self.make_room_for_function();
+        }
         let index = self.functions.find_or_insert(new.function, || {
             Function::new(new.function, service_time, load_time)
         });
--- a/policy/src/state.rs
+++ b/policy/src/state.rs
@@ -175,8 +175,20 @@
     /// Removes functions that have not been called since `time`, so that memory use does not grow with every function
     /// ever called.
     pub(crate) fn forget_functions_unused_since(&mut self, time: Micros) {
-        for function in self.functions.indexes() {
-            for worker in self.functions.forget_unused(function, time) {
+        let unused = self.functions.unused_since(time);
+        self.forget_functions(unused);
+    }
+
+    /// Removes functions so that another one can be added without exceeding [`crate::MAX_FUNCTIONS`], as clients may
+    /// name any number of them.
+    pub(crate) fn make_room_for_function(&mut self) {
+        let removed = self.functions.removed_for_another();
+        self.forget_functions(removed);
+    }
+
+    fn forget_functions(&mut self, unused: Vec<FunctionIndex>) {
+        for function in unused {
+            for worker in self.functions.remove_unused(function) {
                 self.workers[worker].functions.remove(&function);
             }
         }
--- a/policy/tests/memory.rs
+++ b/policy/tests/memory.rs
@@ -1,7 +1,7 @@
 //! The policy's tables are bounded by what is in use, not by everything that a front end has seen since its start.
 use wrenseam_policy::{
     Action, AttemptResult, Controller, Endpoint, Event, Micros, NewRequest, Outcome, Settings,
-    WorkerState,
+    WorkerState, MAX_FUNCTIONS,
 };
 
 const SECOND: Micros = 1_000_000;
@@ -97,6 +97,32 @@
     }
 }
 
+/// The event that ends an order without success, or an attempt as cancelled; `None` for other actions.
+fn failure(action: Action) -> Option<Event> {
+    match action {
+        Action::Load {
+            worker, function, ..
+        } => Some(Event::LoadOrderEnded {
+            worker,
+            function,
+            replicas: 0,
+            outcome: Outcome::Error,
+            elapsed: 0,
+        }),
+        Action::Cancel { id, attempt } => Some(Event::AttemptEnded(AttemptResult {
+            id,
+            attempt,
+            outcome: Outcome::Cancelled,
+            elapsed: 0,
+            request_closed: true,
+            replica_loaded: None,
+            queue_depth: None,
+            in_flight: None,
+        })),
+        _ => None,
+    }
+}
+
 /// Guards against tables that grow while workers are replaced by new ones: the positions of removed workers are reused.
 #[test]
 fn positions_of_removed_workers_are_reused() {
@@ -132,3 +158,56 @@
         "{sizes:?}"
     );
 }
+
+/// Clients name functions, and each that is not known yet takes a record. A function that workers have served is kept
+/// in preference to those that were only asked for.
+#[test]
+fn functions_that_clients_name_are_bounded() {
+    let settings = Settings {
+        load_orders: true,
+        keep_alive: 8 * SECOND,
+        ..Settings::default()
+    };
+    let mut controller = Controller::new(settings, 1);
+    let mut actions = Vec::new();
+    let endpoints = vec![endpoint(1, WorkerState::Ready)];
+    let update = Event::EndpointUpdate {
+        complete: true,
+        endpoints,
+    };
+    controller.handle(SECOND, update, &mut actions);
+    let served_function = 7;
+    controller.handle(SECOND, request(0, served_function, SECOND), &mut actions);
+    while let Some(action) = actions.pop() {
+        if let Some((delay, event)) = answer(action) {
+            controller.handle(SECOND + delay, event, &mut actions);
+        }
+    }
+    let requests = 2 * MAX_FUNCTIONS as u64;
+    for id in 1..requests {
+        let now = 2 * SECOND + 100 * id;
+        controller.handle(now, request(id, 1_000 + id, SECOND), &mut actions);
+        controller.handle(now, Event::RequestCancelled { id }, &mut actions);
+        while let Some(action) = actions.pop() {
+            if let Some(event) = failure(action) {
+                controller.handle(now, event, &mut actions);
+            }
+        }
+    }
+    let sizes = controller.table_sizes();
+    assert!(
+        sizes.functions <= MAX_FUNCTIONS && sizes.function_positions <= MAX_FUNCTIONS,
+        "{sizes:?}"
+    );
+    // A served function's request is sent at once to the worker that has it loaded.
+    let now = 2 * SECOND + 100 * requests;
+    controller.handle(
+        now,
+        request(requests, served_function, SECOND),
+        &mut actions,
+    );
+    assert!(
+        matches!(&actions[..], [.., Action::Send { id, .. }] if *id == requests),
+        "{actions:?}"
+    );
+}
