Requests count with their records, cancelled ones until the core has handled them

What callers saw: a front end at 96 to 200 MB (limit 48) beside clients that send requests and take each back at once.

Cause: the memory budget counted the bytes of requests, some 260 each, not the 1.4 to 1.6 KB that their records take in the core's queue, its tables and the policy; and a connection's limit of 32 open requests forgets a cancelled one at once, while the core's queue still holds it.

--- a/wrenseam/src/front/fastcgi/connection.rs
+++ b/wrenseam/src/front/fastcgi/connection.rs
@@ -10,6 +10,7 @@
 };
 use crate::front::{messages, ListenerContext, ParameterError};
 use crate::limits::Limits;
+use crate::memory_budget::MemoryBudget;
 use crate::net::SlotGuard;
 use may::net::TcpStream;
 use std::collections::HashMap;
@@ -35,6 +36,8 @@
 pub(super) struct FastCgiConnection<'a> {
     pub(super) context: &'a ListenerContext,
     pub(super) client: Arc<FastCgiClient>,
+    /// The memory budget of this connection's requests.
+    budget: MemoryBudget,
     /// Requests that are not completely received yet, by FastCGI request id.
     partial_requests: HashMap<u16, PartialRequest>,
     /// The number of requests that have been passed to the core.
@@ -48,6 +51,9 @@
         FastCgiConnection {
             context,
             client,
+            budget: context
+                .budget
+                .part(context.limits.max_connection_request_bytes),
             partial_requests: HashMap::new(),
             submitted: 0,
             discarded: 0,
@@ -198,8 +204,9 @@
             let rejection = EarlyRejection::TooManyRequests(request_limit);
             self.reject_early(request_id, rejection);
         } else {
-            let partial =
-                PartialRequest::new(!begin.keeps_connection(), self.context.budget.reserve(0));
+            let record_bytes = self.context.limits.request_record_bytes;
+            let reserved = self.budget.reserve(record_bytes);
+            let partial = PartialRequest::new(!begin.keeps_connection(), reserved);
             self.partial_requests.insert(request_id, partial);
         }
         Ok(())
--- a/wrenseam/src/front/listener.rs
+++ b/wrenseam/src/front/listener.rs
@@ -29,7 +29,7 @@
     pub core: CoreHandle,
     /// The limits of the process.
     pub limits: Arc<Limits>,
-    /// The memory budget of all request bodies and unsent responses.
+    /// The memory budget of all requests and unsent responses.
     pub budget: MemoryBudget,
     /// The slots for the client connections of all fronts.
     pub slots: ConnectionSlots,
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -35,13 +35,16 @@
 /// Each worker that speaks KServe v2 may have this many connections at any descriptor limit.
 const V2_CONNECTIONS_MIN: usize = 2;
 
-/// Divisor of the process's memory that gives the budget for request bodies and unsent responses. Each attempt's frame
-/// is a second copy of the body, and rings and stacks come on top.
+/// Divisor of the process's memory that gives the budget for requests and unsent responses. Each attempt's frame is a
+/// second copy of the body, and rings and stacks come on top.
 const MEMORY_BUDGET_DIVISOR: usize = 4;
 
 /// Maximum size of a request's body.
 const REQUEST_BODY_BYTES: usize = 16 * KIB;
 
+/// Memory that the records of a request take in the front, the core's queue and the policy, besides its bytes.
+const REQUEST_RECORD_BYTES: usize = 2 * KIB;
+
 /// Maximum size of the head of a request or a response.
 const HEAD_BYTES: usize = 16 * KIB;
 
@@ -70,6 +73,11 @@
 /// Maximum number of open requests on one client connection.
 const REQUESTS_PER_CONNECTION: usize = 32;
 
+/// Most memory that the requests of one client connection may reserve, those that it has cancelled and that the core has
+/// not handled yet included. As many requests as may be open fit, each of the largest size.
+const CONNECTION_REQUEST_BYTES: usize =
+    REQUESTS_PER_CONNECTION * (REQUEST_RECORD_BYTES + HEAD_BYTES + REQUEST_BODY_BYTES);
+
 /// Interval at which a client connection checks its timeouts, the shortest of which is 2 s.
 const CLIENT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -151,6 +159,8 @@
 #[derive(Clone, Debug)]
 pub struct Limits {
     // Requests, as the fronts check them.
+    /// Memory that the records of a request take, besides its bytes.
+    pub request_record_bytes: usize,
     /// Maximum size of a request's body, in bytes.
     pub max_body_bytes: usize,
     /// Maximum size of a request's parameters or headers and of a response's head, in bytes.
@@ -229,7 +239,9 @@
     // The process.
     /// Memory that the process may use, in bytes.
     pub memory_bytes: usize,
-    /// Bytes that the bodies and unsent responses of all requests may reserve together.
+    /// Bytes that the requests of one client connection may reserve together.
+    pub max_connection_request_bytes: usize,
+    /// Bytes that all requests and unsent responses may reserve together.
     pub memory_budget_bytes: usize,
     /// Stack size of a coroutine, in bytes.
     pub coroutine_stack_bytes: usize,
@@ -249,6 +261,7 @@
     pub fn new(memory_mb: u64, descriptors: u64, settings: &Settings) -> Self {
         let process = ProcessSize::new(memory_mb, descriptors);
         Limits {
+            request_record_bytes: REQUEST_RECORD_BYTES,
             max_body_bytes: REQUEST_BODY_BYTES,
             max_head_bytes: HEAD_BYTES,
             request_read_timeout: REQUEST_READ_TIMEOUT,
@@ -284,6 +297,7 @@
             keepalive_timeout: KEEPALIVE_TIMEOUT,
             keepalive_check_interval: KEEPALIVE_CHECK_INTERVAL,
             memory_bytes: process.memory_bytes,
+            max_connection_request_bytes: CONNECTION_REQUEST_BYTES,
             memory_budget_bytes: process.memory_bytes / MEMORY_BUDGET_DIVISOR,
             coroutine_stack_bytes: STACK_BYTES,
             listener_close_delay: LISTENER_CLOSE_DELAY,
--- a/wrenseam/src/model/request.rs
+++ b/wrenseam/src/model/request.rs
@@ -51,7 +51,7 @@
     pub load_time: Micros,
     /// The body.
     pub payload: Payload,
-    /// The body's part of the memory budget, which is released when the request is dropped.
+    /// The request's part of the memory budget, which is released when the request is dropped.
     pub reserved_bytes: Option<MemoryReservation>,
     /// Set once the client has disconnected or cancelled, or the request is closed: an attempt that has not started by
     /// then is not sent.
--- a/wrenseam/src/process_state.rs
+++ b/wrenseam/src/process_state.rs
@@ -17,7 +17,7 @@
     pub stopping: AtomicBool,
     /// The number of open client connections.
     pub client_connections: Arc<AtomicUsize>,
-    /// Bytes reserved in the memory budget of request bodies and unsent responses.
+    /// Bytes reserved in the memory budget of requests and unsent responses.
     pub reserved_bytes: Arc<AtomicUsize>,
     /// A digest of the configuration in force. A reload changes it.
     pub config_digest: AtomicU64,
