Timers of requests that have ended no longer pile up for as long as clients say they wait

What callers saw: a front end's memory rose by 1.8 MB a second beside four clients whose requests state a wait of ten minutes, answered at once.

Cause: each request sets two or three timers, for its stated wait of up to ten minutes, and a timer cannot be cancelled (core/timers.rs). So their number followed the wait that clients state, not the requests that are open: 60,058 timers after 20,013 answered requests.

Change: when more than 8,192 timers are set, those of ended requests, attempts and orders are removed, and again when their number has doubled; the policy says whether it needs one (Controller::needs_timer). Below that nothing changes.

--- a/policy/src/controller.rs
+++ b/policy/src/controller.rs
@@ -59,6 +59,12 @@
             .is_some_and(|index| workers[index].health.is_unreachable())
     }
 
+    /// Whether a timer with this token may still cause anything: the deadline timer of a request that has ended does not.
+    pub fn needs_timer(&self, token: u64) -> bool {
+        let request = request_of_deadline_token(token);
+        token == HOUSEKEEPING_TOKEN || self.state.requests.contains(request)
+    }
+
     /// On standby, this process leaves sending to workers in slow start to another process of the same front end.
     pub fn set_standby(&mut self, standby: bool) {
         self.state.set_standby(standby);
--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -159,6 +159,7 @@
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
+            self.remove_unneeded_timers();
             self.report_overdue_timers();
             self.run_due_timers();
         }
@@ -205,6 +206,23 @@
         }
     }
 
+    /// Removes timers of what has ended, if many are set: clients state the timeouts of their requests, so timers of
+    /// requests that were answered long ago would accumulate.
+    fn remove_unneeded_timers(&mut self) {
+        if !self.timers.removal_is_due() {
+            return;
+        }
+        let (requests, load_orders) = (&self.requests, &self.load_orders);
+        let controller = &self.controller;
+        self.timers.retain(|event| match event {
+            TimerEvent::Policy(token) => controller.needs_timer(token),
+            TimerEvent::AttemptTimeout(key) => requests.open_attempt(key).is_some(),
+            TimerEvent::LoadOrderTimeout(order) => load_orders.get(order).is_some(),
+            TimerEvent::RequestDeadline(id) => !requests.is_answered(id),
+            TimerEvent::KeepaliveCheck | TimerEvent::LeaseReview | TimerEvent::IdleSweep => true,
+        });
+    }
+
     fn run_due_timers(&mut self) {
         while let Some(event) = self.timers.pop_due(self.clock.now()) {
             self.handle_timer(event);
--- a/wrenseam/src/core/timers.rs
+++ b/wrenseam/src/core/timers.rs
@@ -1,4 +1,5 @@
-//! The core's timers, in one heap. A timer cannot be cancelled; its handler ignores it if it is no longer needed.
+//! The core's timers, in one heap. A timer cannot be cancelled; its handler ignores it if it is no longer needed, and
+//! where many are set, those that are not needed are removed from time to time.
 use crate::model::AttemptKey;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -8,6 +9,9 @@
 /// The longest that the event loop waits, even if no timer is due sooner.
 const MAX_WAIT: Duration = Duration::from_millis(500);
 
+/// Timers that are no longer needed are first removed when more than this many are set.
+const FIRST_REMOVAL: usize = 8_192;
+
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum TimerEvent {
@@ -36,10 +40,22 @@
 }
 
 /// The heap of timers. Timers of the same time fire in the order in which they were set.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Timers {
     heap: BinaryHeap<Reverse<Timer>>,
     sequence: u64,
+    /// Timers that are no longer needed are removed when more than this many are set.
+    next_removal: usize,
+}
+
+impl Default for Timers {
+    fn default() -> Self {
+        Timers {
+            heap: BinaryHeap::new(),
+            sequence: 0,
+            next_removal: FIRST_REMOVAL,
+        }
+    }
 }
 
 impl Timers {
@@ -63,6 +79,18 @@
         self.heap.is_empty()
     }
 
+    /// Whether so many timers are set that those that are no longer needed should be removed.
+    pub fn removal_is_due(&self) -> bool {
+        self.heap.len() > self.next_removal
+    }
+
+    /// Removes the timers that are not needed. The next removal is due when twice as many are set as are left.
+    pub fn retain(&mut self, is_needed: impl Fn(TimerEvent) -> bool) {
+        self.heap.retain(|Reverse(timer)| is_needed(timer.event));
+        self.heap.shrink_to(FIRST_REMOVAL);
+        self.next_removal = (2 * self.heap.len()).max(FIRST_REMOVAL);
+    }
+
     /// Removes and returns the next timer if it is due.
     pub fn pop_due(&mut self, now: Micros) -> Option<TimerEvent> {
         if self.next_at()? > now {
--- a/wrenseam/tests/core_tables.rs
+++ b/wrenseam/tests/core_tables.rs
@@ -182,3 +182,30 @@
     assert_eq!(timers.wait(2_030_000), Duration::ZERO);
     assert_eq!(timers.overdue(2_030_000), 30_000);
 }
+
+/// Guards memory: clients state the timeouts of their requests, and a timer cannot be cancelled.
+#[test]
+fn timers_that_are_not_needed_are_removed_where_many_are_set() {
+    let mut timers = Timers::default();
+    timers.set(1, TimerEvent::IdleSweep);
+    let mut most = 0;
+    for id in 0..100_000 {
+        timers.set(1_000_000 + id, TimerEvent::RequestDeadline(id));
+        if timers.removal_is_due() {
+            timers.retain(|event| event == TimerEvent::IdleSweep);
+        }
+        most = most.max(timers.len());
+    }
+    assert!(most < 10_000, "{most} timers");
+    assert_eq!(timers.pop_due(1), Some(TimerEvent::IdleSweep));
+    // Where most are needed, removals become rare.
+    let mut removals = 0;
+    for id in 0..100_000 {
+        timers.set(2_000_000, TimerEvent::RequestDeadline(id));
+        if timers.removal_is_due() {
+            timers.retain(|_| true);
+            removals += 1;
+        }
+    }
+    assert!(removals <= 5, "{removals} removals");
+}
