A worker connection keeps a bounded number of call ids

What callers saw: memory that rises with the calls of clients that state long waits, about 0.1 MB a second at 14,000 calls a second, for up to ten minutes.

Cause: a connection keeps the id of each call until the call's client may no longer reuse it, which is the client's to state (reserve_id), so the table grew with the rate of calls times the stated wait.

Change: a connection that keeps 8,192 ids takes no further exchange and closes once it is idle; another one takes its place.

Evidence: a_connection_keeps_a_bounded_number_of_ids failed before (20,000 calls on one connection), passes now.

--- a/wrenseam/src/worker/frames/handle.rs
+++ b/wrenseam/src/worker/frames/handle.rs
@@ -18,6 +18,10 @@
 /// the range, and clients draw the ids of calls at random.
 const FIRST_PROBE_ID: u64 = u64::MAX / 2;
 
+/// A connection that keeps this many ids of calls takes no further exchange, and closes once it is idle: clients state
+/// for how long their ids are kept.
+const MAX_RESERVED_IDS: usize = 8_192;
+
 /// One connection as the core sees it. Once it is dropped the writer closes the connection.
 pub(super) struct ConnectionHandle {
     commands: Sender<Command>,
@@ -73,6 +77,7 @@
         let open_exchanges = self.state.open_exchanges();
         !self.state.is_closed()
             && !self.state.is_draining()
+            && !self.has_reserved_all_ids()
             && open_exchanges < limits.max_streams_per_connection
             && (open_exchanges > 0 || self.quiet_since().elapsed() <= limits.worker_idle_timeout)
     }
@@ -82,6 +87,10 @@
         self.reserved_ids.contains_key(&id)
     }
 
+    fn has_reserved_all_ids(&self) -> bool {
+        self.reserved_ids.len() >= MAX_RESERVED_IDS
+    }
+
     /// Keeps further calls with this id off this connection until `until`.
     pub(super) fn reserve_id(&mut self, id: u64, until: Instant) {
         self.reserved_ids.insert(id, until);
@@ -184,6 +193,6 @@
             return true;
         }
         let is_expired = self.quiet_since().elapsed() > limits.worker_idle_timeout;
-        !is_expired && !self.state.is_draining()
+        !is_expired && !self.state.is_draining() && !self.has_reserved_all_ids()
     }
 }
--- a/wrenseam/tests/link/mod.rs
+++ b/wrenseam/tests/link/mod.rs
@@ -7,7 +7,10 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{mpsc, Arc};
 use std::time::{Duration, Instant};
-use support::frames::{encode_answer, read_frame};
+#[allow(unused_imports, reason = "each test binary uses its own part")]
+pub(crate) use support::frames::read_frame;
+
+use support::frames::encode_answer;
 use wrenseam::limits::Limits;
 use wrenseam::model::{AttemptKey, Payload, Request};
 use wrenseam::queue::{CoreHandle, Message};
--- a/wrenseam/tests/transport.rs
+++ b/wrenseam/tests/transport.rs
@@ -2,8 +2,8 @@
 mod link;
 
 use link::{
-    frames_transport, listener_with_full_backlog, next_outcome, read_id_and_code, request,
-    send_answer, FIRST_ATTEMPT,
+    frames_transport, listener_with_full_backlog, next_outcome, read_frame, read_id_and_code,
+    request, send_answer, FIRST_ATTEMPT,
 };
 use rstest::rstest;
 use std::io::{Read, Write};
@@ -540,3 +540,58 @@
     }
     assert_eq!(transport.connections().open, 0);
 }
+
+/// A connection keeps the ids of its calls for as long as their clients say they wait. It takes no further calls once it
+/// keeps many, and closes.
+#[test]
+fn a_connection_keeps_a_bounded_number_of_ids() {
+    const CALLS: u64 = 20_000;
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let (mut transport, reports) = frames_transport(address, |_| {});
+    let limits = AttemptLimits::with_timeout(LONG_TIMEOUT);
+    let calls_per_connection = std::thread::spawn(move || {
+        let mut calls_per_connection = Vec::new();
+        for stream in listener.incoming().map_while(Result::ok) {
+            calls_per_connection.push(answer_calls(stream));
+            if calls_per_connection.iter().sum::<u64>() == CALLS {
+                break;
+            }
+        }
+        calls_per_connection
+    });
+    for id in 0..CALLS {
+        transport.send(FIRST_ATTEMPT, &request(id), limits);
+        assert_eq!(next_attempt_outcome(&reports), Outcome::Rejected);
+        if transport.call_opens_connection(id + 1) {
+            transport.sweep(); // as the core does from time to time
+        }
+    }
+    drop(transport);
+    let calls_per_connection = calls_per_connection.join().expect("no panic");
+    assert!(
+        calls_per_connection.iter().all(|calls| *calls < 10_000),
+        "{calls_per_connection:?}"
+    );
+}
+
+/// The outcome of the next attempt that ends. The ends of connections are skipped.
+fn next_attempt_outcome(reports: &Receiver<Message>) -> Outcome {
+    loop {
+        match reports.recv_timeout(Duration::from_secs(20)) {
+            Ok(Message::WorkerConnectionEnded { .. }) => {}
+            Ok(Message::AttemptEnded { report, .. }) => return report.outcome,
+            _ => panic!("no end of an attempt was reported"),
+        }
+    }
+}
+
+/// Answers calls until the connection ends, and returns how many there were.
+fn answer_calls(mut stream: TcpStream) -> u64 {
+    let mut calls = 0;
+    while let Ok(frame) = read_frame(&mut stream) {
+        send_answer(&mut stream, CODE_REJECTED, frame.id, "", b"");
+        calls += 1;
+    }
+    calls
+}
