A client connection keeps its slot until its last descriptor is closed

Cause: the slots stand for descriptors of client connections, but a slot was given back when the connection's reader ended, while its writer, which holds a descriptor and the unsent responses, went on for up to 5 s if the client does not read. Clients that ask, do not read and leave could so hold more descriptors than the limit leaves for them.

Change: a connection that closes without a linger waits for its writer too (Outbox::wait_until_closed), as one that lingers always did.

Evidence: a_connection_keeps_its_slot_until_its_writer_has_ended failed before, 2 of 2 runs (0 slots in use beside a stalled writer), passes now, 3 of 3. eviction, descriptors, leaving, fronts, program and resource_limits pass.

--- a/wrenseam/src/front/connection.rs
+++ b/wrenseam/src/front/connection.rs
@@ -247,5 +247,7 @@
         channel.out.linger(stream, &context.limits);
     } else {
         channel.out.abort();
+        drop(stream);
+        channel.out.wait_until_closed(&context.limits);
     }
 }
--- a/wrenseam/src/net/outbox.rs
+++ b/wrenseam/src/net/outbox.rs
@@ -192,6 +192,13 @@
     pub fn linger(&self, stream: TcpStream, limits: &Limits) {
         self.close();
         self.discard_input(stream, limits);
+        self.wait_until_closed(limits);
+    }
+
+    /// Waits until the writer has ended, and with it the connection's last descriptor is closed. Called after
+    /// [`Outbox::close`] or [`Outbox::abort`].
+    pub fn wait_until_closed(&self, limits: &Limits) {
+        may::coroutine::yield_now(); // most writers end as soon as they run
         while !self.has_writer_ended() {
             // Ends in any case, as `Limits::write_stall_timeout` bounds how long the writer takes.
             sleep(limits.linger_timeout / LINGER_CHECK_DIVISOR);
--- a/wrenseam/tests/closing.rs
+++ b/wrenseam/tests/closing.rs
@@ -1,16 +1,23 @@
 //! Listeners and connections that close while connections or input are still arriving.
 mod common;
 
-use common::{connect, fastcgi_request, read_fastcgi_answer, Harness, Protocol, FUNCTION};
+use common::{
+    connect, fastcgi_record, fastcgi_request, read_fastcgi_answer, Harness, Protocol, FUNCTION,
+};
+use socket2::SockRef;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::Ordering;
 use std::sync::{mpsc, Arc};
-use wrenseam::front::{close, Listener, ListenerContext};
+use std::time::{Duration, Instant};
+use wrenseam::front::{close, fastcgi, Listener, ListenerContext};
 use wrenseam::limits::Limits;
 use wrenseam::net::SlotGuard;
 use wrenseam::queue::CoreHandle;
 
+/// FastCGI record type of a question for variables.
+const GET_VALUES: u8 = 9;
+
 fn echo(mut stream: may::net::TcpStream, _: &ListenerContext, _: SlotGuard) {
     let mut received = [0; 4];
     let _ = stream.read_exact(&mut received);
@@ -101,3 +108,44 @@
     assert!(head.starts_with("Status: 5"), "{head}");
     assert_eq!(open.read(&mut [0; 8]).expect("closed without a reset"), 0);
 }
+
+/// A connection's writer goes on for a while when its client does not read. Until it has ended its descriptor is open,
+/// so the slot, which stands for the connection's descriptors, is in use.
+#[test]
+fn a_connection_keeps_its_slot_until_its_writer_has_ended() {
+    may::config().set_workers(1).set_worker_pin(false); // as the program has it
+    let settings = wrenseam_policy::Settings::default();
+    let limits = Arc::new(Limits::new(192, 1024, &settings));
+    let (core, _inbox) = mpsc::channel();
+    let context = ListenerContext::new(CoreHandle::new(core), limits.clone(), Arc::default());
+    let (unsent, slots) = (
+        context.unsent_bytes.clone(),
+        context.process_state.client_connections.clone(),
+    );
+    let listener = may::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut client = connect(listener.local_addr().expect("bound"));
+    SockRef::from(&client)
+        .set_recv_buffer_size(4_096)
+        .expect("set");
+    client
+        .set_write_timeout(Some(Duration::from_secs(1)))
+        .expect("set");
+    let guard = context.slots.acquire().expect("a slot");
+    wrenseam::net::spawn(limits.coroutine_stack_bytes, move || {
+        let (stream, _) = listener.accept().expect("a connection");
+        fastcgi::serve(stream, &context, guard);
+    })
+    .expect("a coroutine");
+    // Each question is answered with some 57 KB, until the front end gives up the connection.
+    let question = fastcgi_record(GET_VALUES, 0, &b"\x0e\0FCGI_MAX_CONNS".repeat(3_000));
+    while client.write_all(&question).is_ok() {}
+    let is_writer_stalled = || unsent.load(Ordering::Acquire) > 0;
+    assert!(is_writer_stalled());
+    let since = Instant::now();
+    while is_writer_stalled() {
+        assert!(since.elapsed() < Duration::from_secs(20), "it never ends");
+        let slots_in_use = slots.load(Ordering::Acquire);
+        assert!(slots_in_use == 1 || !is_writer_stalled(), "{slots_in_use}");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
