Soak: crowds of misusing clients, signals in series, limits of memory and descriptors

Each run draws one of three pairs of limits (48 MB and 384 descriptors, 96 and 512, 192 and 1,024; descriptors enforced) and up to three further signals a front end; one run in three has a crowd of two kinds of misusing clients for 2 to 6 s; peak memory and open descriptors of all processes are checked ten times a second. The further draws come from a generator of their own, so that each seed keeps what it had.

--- a/wrenseam/tests/soak.rs
+++ b/wrenseam/tests/soak.rs
@@ -1,15 +1,16 @@
 //! A seeded soak test: clients send requests to front end processes all the time while the discovery service is
-//! unreachable or moves, workers drain, crash and restart, and front ends are paused, restarted and killed as early as
-//! the platform may do so. Guards against breaches of the platform's rules that only a combination of these causes:
-//! work sent to draining workers, forbidden duplicates, overload of workers in slow start, lost requests, and crashes.
+//! unreachable or moves, workers drain, crash and restart, front ends are paused, restarted and killed as early as the
+//! platform may do so, and in some runs a crowd of other clients misuses them. Guards against breaches of the platform's
+//! rules that only a combination of these causes: work sent to draining workers, forbidden duplicates, overload of
+//! workers in slow start, lost requests, crashes, and processes that exceed their memory or descriptors.
 //!
 //! Command of the long run: `SOAK_SEEDS=1..61 cargo test -p wrenseam --test soak -- --ignored --nocapture`.
 mod platform;
 
 use platform::{
-    cold_overload, forbidden_duplicates, late_arrivals, start_workers, ClientSettings, Clients,
-    Deployment, DiscoveryService, Drain, DrainLimits, EventLog, FrontEnd, FrontEndSettings, Outage,
-    ProcessLimits, RequestOutcome, RequestRecord, SimulatedWorker,
+    cold_overload, forbidden_duplicates, late_arrivals, start_workers, Abuse, AbusiveClients,
+    ClientSettings, Clients, Deployment, DiscoveryService, Drain, DrainLimits, EventLog, FrontEnd,
+    FrontEndSettings, Outage, ProcessLimits, RequestOutcome, RequestRecord, SimulatedWorker,
 };
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -38,7 +39,34 @@
 /// Smallest share of all requests that must be served.
 const MIN_SERVED_SHARE: f64 = 1.0 / 3.0;
 /// Number of seeds that run at the same time in the long run.
-const PARALLEL_SEEDS: usize = 10;
+const PARALLEL_SEEDS: usize = 6;
+/// Limits of the processes, of which each run draws one pair.
+const PROCESS_LIMITS: [ProcessLimits; 3] = [
+    ProcessLimits {
+        memory_mb: 48,
+        descriptors: 384,
+    },
+    ProcessLimits {
+        memory_mb: 96,
+        descriptors: 512,
+    },
+    ProcessLimits {
+        memory_mb: 192,
+        descriptors: 1_024,
+    },
+];
+/// Kinds of clients in a crowd, of which each crowd draws two.
+const CROWD_KINDS: [Abuse; 6] = [
+    Abuse::RepeatsRequestId,
+    Abuse::CancelsAtOnce,
+    Abuse::ReadsNothing,
+    Abuse::StatesLongestTimeout,
+    Abuse::HoldsConnections,
+    Abuse::SendsGarbage,
+];
+/// Interval at which memory and descriptors of the processes are checked.
+const USAGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const KIB_PER_MB: u64 = 1024;
 
 /// An event of a run. Workers and front ends are given by their index.
 #[derive(Clone, Debug)]
@@ -65,6 +93,10 @@
     Pause(usize),
     /// A paused front end continues.
     Resume(usize),
+    /// A client of a crowd begins to misuse a front end.
+    Misuse(usize, Abuse),
+    /// All clients of crowds stop.
+    EndMisuse,
 }
 
 /// The configuration and the steps of a run, which follow from its seed.
@@ -78,6 +110,7 @@
     clients_per_front_end: usize,
     /// Mean pause of a client between two requests.
     client_pause: Duration,
+    limits: ProcessLimits,
     /// Steps in the order of their times, which count from the start of the run.
     steps: Vec<(Duration, Step)>,
 }
@@ -131,11 +164,17 @@
                 random.in_range(3..8) as usize
             },
             client_pause: Duration::from_millis(if has_many_clients { 100 } else { 50 }),
+            limits: ProcessLimits::default(),
             steps: Vec::new(),
         };
         let outage_begin = plan.add_outage(&mut random);
         plan.add_worker_failures(&mut random, outage_begin);
         plan.add_signals(&mut random);
+        // Drawn apart, so that what is drawn above stays the same for each seed.
+        let mut random = SeededRandom(Pcg32::seed_from_u64(!seed));
+        plan.limits = PROCESS_LIMITS[random.below(3) as usize];
+        plan.add_further_signals(&mut random);
+        plan.add_crowd(&mut random);
         plan.steps.sort_by_key(|(at, _)| *at);
         plan
     }
@@ -216,6 +255,37 @@
         }
     }
 
+    /// Adds a series of further signals to some front ends.
+    fn add_further_signals(&mut self, random: &mut SeededRandom) {
+        for front_end in 0..self.front_ends {
+            let mut at = random.duration_ms(3_000..9_000);
+            for _ in 0..random.below(4) {
+                let step = match random.below(4) {
+                    0 => Step::Kill(front_end),
+                    1 => Step::MoveDiscovery,
+                    _ => Step::Terminate(front_end),
+                };
+                self.steps.push((at, step));
+                at += random.duration_ms(300..6_000);
+            }
+        }
+    }
+
+    /// In one of three runs, a crowd of clients misuses a front end for some seconds.
+    fn add_crowd(&mut self, random: &mut SeededRandom) {
+        if !random.one_in(3) {
+            return;
+        }
+        let front_end = random.below(self.front_ends as u32) as usize;
+        let begin = random.duration_ms(1_000..10_000);
+        for _ in 0..2 {
+            let kind = CROWD_KINDS[random.below(6) as usize];
+            self.steps.push((begin, Step::Misuse(front_end, kind)));
+        }
+        let end = begin + random.duration_ms(2_000..6_000);
+        self.steps.push((end, Step::EndMisuse));
+    }
+
     /// Time from SIGTERM to the earliest SIGKILL that the platform may send.
     fn kill_delay(&self) -> Duration {
         let timeout = Duration::from_millis(self.deployment.give_up_ms);
@@ -258,6 +328,10 @@
     /// Pauses of front ends: the front end's index and the period, which is empty until the front end resumes.
     pauses: Vec<(usize, Disturbance)>,
     clients: Clients,
+    crowd: Vec<AbusiveClients>,
+    usage_checked_at: Instant,
+    /// Descriptions of processes that exceeded their memory or descriptors.
+    exceeded_limits: Vec<String>,
 }
 
 impl Soak {
@@ -271,7 +345,7 @@
                 deployment: plan.deployment.clone(),
                 index,
                 seed: plan.seed << 8,
-                limits: ProcessLimits::default(),
+                limits: plan.limits,
             };
             let front_end = FrontEnd::start(settings, &log, discovery[0].address);
             let client = ClientSettings {
@@ -297,6 +371,9 @@
             outage_since: None,
             pauses: Vec::new(),
             clients,
+            crowd: Vec::new(),
+            usage_checked_at: Instant::now(),
+            exceeded_limits: Vec::new(),
         }
     }
 
@@ -323,10 +400,29 @@
                 let (_, end) = self.pending_kills.swap_remove(due);
                 self.kill_and_restart(end);
             }
+            self.check_usage();
             std::thread::sleep(Duration::from_millis(2));
         }
     }
 
+    /// Records the processes that exceed their memory or descriptors.
+    fn check_usage(&mut self) {
+        if self.usage_checked_at.elapsed() < USAGE_CHECK_INTERVAL {
+            return;
+        }
+        self.usage_checked_at = Instant::now();
+        let limits = self.plan.limits;
+        for (index, front_end) in self.front_ends.iter().enumerate() {
+            let peak_kib = front_end.peak_resident_kib().unwrap_or_default();
+            let descriptors = front_end.open_descriptors();
+            if peak_kib > limits.memory_mb * KIB_PER_MB || descriptors >= limits.descriptors {
+                self.exceeded_limits.push(format!(
+                    "n{index}: {peak_kib} KiB resident, {descriptors} descriptors, limits {limits:?}"
+                ));
+            }
+        }
+    }
+
     fn kill_and_restart(&mut self, end: ProcessEnd) {
         let front_end = &mut self.front_ends[end.front_end];
         front_end.kill();
@@ -393,6 +489,13 @@
                     });
                 }
             }
+            Step::Misuse(front_end, abuse) => {
+                let address = self.front_ends[front_end].address;
+                let seed = self.plan.seed.wrapping_add(self.crowd.len() as u64);
+                self.crowd
+                    .push(AbusiveClients::start(abuse, 1, address, seed));
+            }
+            Step::EndMisuse => self.crowd.clear(),
             Step::Pause(front_end) => {
                 self.pauses.push((front_end, now..now));
                 self.front_ends[front_end].signal("-STOP");
@@ -522,6 +625,8 @@
                 .into_iter()
                 .map(|what| format!("lost: {what}")),
         );
+        let exceeded = self.exceeded_limits.iter().take(3);
+        violations.extend(exceeded.map(|what| format!("limits: {what}")));
         for (index, front_end) in self.front_ends.iter_mut().enumerate() {
             let is_ending = self
                 .pending_kills
