Numbers that workers state do not overflow in the policy

What callers saw: none in the report; found by sending wild numbers to a debug build: a worker that states 4,294,967,295 requests or replicas ended the core there by an overflow (replica.rs, replication.rs); the release build wraps instead and takes such a worker for one with free slots.

Change: both sums saturate.

Evidence: requests_are_served_whatever_numbers_workers_state, case the_largest, failed before (attempt to add with overflow), passes now.

--- a/policy/src/replica.rs
+++ b/policy/src/replica.rs
@@ -92,7 +92,7 @@
         } else {
             0
         };
-        self.own_in_flight + others < self.count.saturating_mul(concurrency)
+        self.own_in_flight.saturating_add(others) < self.count.saturating_mul(concurrency)
     }
 
     /// Whether an order to load is pending.
--- a/policy/src/replication.rs
+++ b/policy/src/replication.rs
@@ -69,7 +69,10 @@
         self.free_memory(index, worker, now, actions);
         let replica = self.replica_mut(index, worker);
         let replicas = if replica.is_loaded(now) {
-            (replica.count() + 1).min(MAX_REPLICAS_PER_WORKER)
+            replica
+                .count()
+                .saturating_add(1)
+                .min(MAX_REPLICAS_PER_WORKER)
         } else {
             1
         };
