A connection that drains no longer closes on a request that has arrived

Cause: a read that has timed out counts as silence of the client (ConnectionReader::check_idle_timeout, and the shutdown's check in receive). While clients at full speed keep the scheduler's only thread, the time-out is set by the timer thread, and a request that arrives before the reader runs is not seen; with the idle time of a drain, 0, the connection then closes and its input is discarded. Readers of worker connections ask for unread input in this place, eviction does too; these two did not.

Change: both ask the socket for unread input before they close.

Evidence: a_request_that_arrived_while_the_scheduler_was_busy_is_not_closed_on blocks the scheduler's thread for 500 ms and failed before, 3 of 3 runs, passes now, 3 of 3. eviction, leaving, fronts, golden_fronts, program, admin_endpoint, kserve_proofs and process_handover pass.

--- a/wrenseam/src/front/connection.rs
+++ b/wrenseam/src/front/connection.rs
@@ -3,7 +3,7 @@
 use super::kserve::HttpError;
 use super::{messages, ListenerContext};
 use crate::log::RateLimitedLine;
-use crate::model::Client;
+use crate::model::{Client, ClientState};
 use crate::net::{receive, ConnectionSlot, Outbox, ReadFairness, ReadOutcome, SlotGuard};
 use crate::ring::Ring;
 use may::net::TcpStream;
@@ -147,7 +147,7 @@
         self.filled_ring = self.ring.len() == self.ring.capacity();
         let is_quiet =
             received == ReadOutcome::NotReady && between_requests && self.ring.is_empty();
-        if shutting_down && is_quiet && self.channel.slot.is_idle() {
+        if shutting_down && is_quiet && self.channel.slot.is_idle() && !self.has_unread_input() {
             self.close_gracefully();
             return Ok(Flow::Ended);
         }
@@ -159,7 +159,7 @@
 
     /// Ends the connection if its idle timeout has passed.
     pub(super) fn check_idle_timeout(&self) -> Flow {
-        if !self.channel.slot.has_idle_timed_out(&self.context.limits) {
+        if !self.channel.slot.has_idle_timed_out(&self.context.limits) || self.has_unread_input() {
             return Flow::Open;
         }
         self.close_gracefully();
@@ -190,6 +190,12 @@
         }
     }
 
+    /// Whether the client has sent something that is not read yet: a read may time out although input has arrived, while
+    /// other coroutines keep the scheduler's thread busy.
+    fn has_unread_input(&self) -> bool {
+        self.channel.out.client_probe().state() == ClientState::UnreadInput
+    }
+
     /// Whether the sending side closes the connection: what the client sends from now on could not be answered.
     fn is_closing(&self) -> bool {
         self.channel.out.is_closing() || self.channel.out.is_aborted()
--- a/wrenseam/tests/closing.rs
+++ b/wrenseam/tests/closing.rs
@@ -13,7 +13,7 @@
 use wrenseam::front::{close, fastcgi, Listener, ListenerContext};
 use wrenseam::limits::Limits;
 use wrenseam::net::SlotGuard;
-use wrenseam::queue::CoreHandle;
+use wrenseam::queue::{CoreHandle, Message};
 
 /// FastCGI record type of a question for variables.
 const GET_VALUES: u8 = 9;
@@ -149,3 +149,54 @@
         std::thread::sleep(Duration::from_millis(1));
     }
 }
+
+/// While other coroutines keep the scheduler's thread busy, a read may time out although a request has arrived meanwhile.
+/// A connection that drains must not take that for silence and close: the request would be lost.
+#[test]
+fn a_request_that_arrived_while_the_scheduler_was_busy_is_not_closed_on() {
+    may::config().set_workers(1).set_worker_pin(false); // as the program has it
+    let settings = wrenseam_policy::Settings::default();
+    let mut limits = Limits::new(192, 1024, &settings);
+    limits.client_check_interval = Duration::from_millis(50);
+    let limits = Arc::new(limits);
+    let (core, inbox) = mpsc::channel();
+    let context = ListenerContext::new(CoreHandle::new(core), limits.clone(), Arc::default());
+    let draining = context.process_state.draining.clone();
+    let listener = may::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut client = connect(listener.local_addr().expect("bound"));
+    let guard = context.slots.acquire().expect("a slot");
+    let request = fastcgi_request(
+        1,
+        &[
+            ("SCRIPT_NAME", "/v1/tile-render"),
+            ("HTTP_REQ_ID", "9b1f03aa5c7e2d41"),
+            ("HTTP_REQ_WAIT_MS", "1000"),
+            ("HTTP_REQ_OWNER", "acme"),
+            ("HTTP_REQ_KEY", FUNCTION),
+        ],
+        b"",
+    );
+    wrenseam::net::spawn(limits.coroutine_stack_bytes, move || {
+        let (stream, _) = listener.accept().expect("a connection");
+        fastcgi::serve(stream, &context, guard);
+    })
+    .expect("a coroutine");
+    let (busy, is_busy) = mpsc::channel();
+    wrenseam::net::spawn(limits.coroutine_stack_bytes, move || {
+        wrenseam::net::sleep(Duration::from_millis(20)); // the connection's reader waits for input by then
+        busy.send(()).expect("the test receives");
+        std::thread::sleep(Duration::from_millis(500)); // keeps the scheduler's only thread
+    })
+    .expect("a coroutine");
+    is_busy.recv().expect("sent");
+    draining.store(true, Ordering::Release);
+    std::thread::sleep(Duration::from_millis(200)); // the read times out
+    client.write_all(&request).expect("written");
+    assert!(
+        matches!(
+            inbox.recv_timeout(Duration::from_secs(5)),
+            Ok(Message::Request { .. })
+        ),
+        "the request did not reach the core"
+    );
+}
