--- a/review/standins/standin.py
+++ b/review/standins/standin.py
@@ -5,6 +5,7 @@
 """
 import asyncio
 import json
+import multiprocessing
 import os
 import random
 import shutil
@@ -603,6 +604,9 @@
     finally:
         for front_end in front_ends:
             front_end.end()
+        for child in multiprocessing.active_children():
+            child.kill()
+            child.join()
         if os.environ.get("KEEP_LOG"):
             for front_end in front_ends:
                 sys.stderr.write(front_end.log())
