--- a/review/1/case.py
+++ b/review/1/case.py
@@ -36,7 +36,7 @@
 BODY_BYTES = 16000
 RECORD_BYTES = 8000
 CALM_S = 3
-BAD_S = 10
+BAD_S = 20
 # A half-written connection is closed by its client after this time, and another one comes.
 HOLD_S = 1.9
 LONG_ANSWER_BYTES = 230000
