--- a/review/standins/standin.py
+++ b/review/standins/standin.py
@@ -157,8 +157,6 @@
 
     # Where set, one answer in sixteen of all hosts has this many bytes.
     long_answer = 0
-    # Whether a host that drains sends requests away with code 203, as it does with orders to load; else it runs them.
-    refuses_while_draining = False
     answers = 0
 
     def __init__(self, name, zone, record, work_s=0.05, started_at_ms=0):
@@ -199,10 +197,7 @@
                 if code == CALL:
                     self.arrivals.append((at, "request", number))
                     self.record.line(f"host {self.name} got request {number:016x} ({self.lifecycle})", at)
-                    if self.lifecycle != "ready" and Host.refuses_while_draining:
-                        writer.write(frame(127, FULL, number))
-                    else:
-                        asyncio.ensure_future(self.run(writer, number, fields, body))
+                    asyncio.ensure_future(self.run(writer, number, fields, body))
                 elif code == ORDER:
                     await self.order(writer, at, number, fields)
                 elif code in (HEALTH, LOAD_REPORT):
@@ -257,9 +252,6 @@
     def __init__(self, record):
         self.record = record
         self.events = []  # (number, text)
-        self.published_at = []
-        # How long an event takes to reach a watch, from when it was published or the watch asked, whichever is later.
-        self.delay_s = 0.0
         self.server = None
         self.port = free_port()
         self.writers = set()
@@ -272,7 +264,6 @@
     def publish(self, instances, reset=False):
         notice = self.notice(instances, reset)
         self.events.append((notice["rev"], json.dumps(notice)))
-        self.published_at.append(time.time())
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -298,13 +289,10 @@
                 if name.lower() == "last-event-id":
                     last = int(value)
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
-            asked_at = commented = time.time()
-            self.record.line(f"the notice board was asked for what follows event {last}", asked_at)
+            commented = time.time()
             while True:
-                while last < len(self.events) and time.time() >= max(asked_at, self.published_at[last]) + self.delay_s:
-                    number, text = self.events[last]
+                for number, text in self.events[last:]:
                     writer.write(f"id: {number}\ndata: {text}\n\n".encode())
-                    self.record.line(f"the notice board told event {number}")
                     last = number
                 if time.time() - commented >= 1:
                     writer.write(b": still here\n\n")
