--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,108 +1,86 @@
-"""Connections arrive half-written at one of three front ends. See claim.txt."""
+"""Front ends are drained by operators while clients read slowly. See claim.txt."""
 import asyncio
-import multiprocessing
 import os
-import socket
-import struct
+import random
 import sys
-import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins"))
-from standin import (  # noqa: E402
-    BEGIN,
-    FUNCTIONS,
-    PARAMS,
-    STDIN,
-    TROUBLE,
-    Host,
-    Watch,
-    call_fields,
-    count_kinds,
-    hex_id,
-    pair,
-    record_bytes,
-    run_case,
-    start_deployment,
-    start_usual_clients,
-)
+from standin import FUNCTIONS, TROUBLE, Host, SlowClient, Watch, count_kinds, run_case, start_deployment  # noqa: E402
 
 FRONT_ENDS = 3
-PROCESSES = 4
-CONNECTIONS_EACH = 25
-REQUESTS_PER_CONNECTION = 32
-PARAMETER_BYTES = 15000
-BODY_BYTES = 16000
-RECORD_BYTES = 8000
+# At each front end.
+CONNECTIONS = 4
+OPEN_REQUESTS = 32
+BYTES_PER_S = 500_000
+LONG_ANSWER_BYTES = 230_000
 CALM_S = 3
-BAD_S = 20
-# A half-written connection is closed by its client after this time, and another one comes.
-HOLD_S = 1.9
-LONG_ANSWER_BYTES = 230000
-
-
-def half_written():
-    """32 requests, all but the empty record that ends each of their bodies."""
-    written = bytearray()
-    for number in range(1, REQUESTS_PER_CONNECTION + 1):
-        fields = call_fields(hex_id(), "tile-render", "coop-norte", FUNCTIONS[0], 2000)
-        fields["HTTP_COOKIE"] = "x" * PARAMETER_BYTES
-        params = b"".join(pair(name, value) for name, value in fields.items())
-        written += record_bytes(BEGIN, number, struct.pack(">HB5x", 1, 1))
-        for start in range(0, len(params), RECORD_BYTES):
-            written += record_bytes(PARAMS, number, params[start : start + RECORD_BYTES])
-        written += record_bytes(PARAMS, number)
-        for start in range(0, BODY_BYTES, RECORD_BYTES):
-            written += record_bytes(STDIN, number, b"y" * min(RECORD_BYTES, BODY_BYTES - start))
-    return bytes(written)
-
-
-def bad_client(port, until, count):
-    """Connects, writes half requests, reads what it is sent, closes, and comes again."""
-
-    def read(stream):
-        try:
-            while stream.recv(65536):
-                pass
-        except OSError:
-            pass
-
-    while time.time() < until:
-        try:
-            stream = socket.create_connection(("127.0.0.1", port), timeout=1)
-        except OSError:
-            time.sleep(0.02)
-            continue
-        with count.get_lock():
-            count.value += 1
-        stream.settimeout(HOLD_S)
-        threading.Thread(target=read, args=(stream,), daemon=True).start()
-        began = time.time()
-        try:
-            stream.sendall(half_written())
-            while time.time() < min(began + HOLD_S, until):
-                time.sleep(0.05)
-        except OSError:
-            time.sleep(0.05)
-        stream.close()
-
-
-def bad_clients(port, until, count):
-    threads = [threading.Thread(target=bad_client, args=(port, until, count), daemon=True) for _ in range(CONNECTIONS_EACH)]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-
-
-async def watch_memory(front_end, record, stop):
-    """What the front end itself says of its memory, for the record alone."""
-    while not stop.is_set():
-        lines = (await front_end.call_admin("telemetry")).splitlines()
-        shown = [line for line in lines if "resident_kib" in line or "reserved_bytes" in line or "client_connections" in line]
-        record.line(f"{front_end.name}: {' '.join(shown)}")
-        await asyncio.sleep(0.5)
+DRAINS_EACH = 5
+# The front end must have closed its clients' connections by then, and is called back after it.
+DRAINED_S = 4.5
+IN_USE_S = 1.5
+# New connections come for so long after a front end is not ready.
+NEW_CONNECTIONS_S = 0.2
+
+
+class SlowClients:
+    """The clients of one front end: each connection has a number of open requests, and is opened again once it has
+    ended, unless the front end is not ready."""
+
+    def __init__(self, front_end, record, stop):
+        self.front_end, self.record, self.stop = front_end, record, stop
+        self.requests = []
+        self.closed_since = None  # when the front end was found not to be ready
+        self.tasks = []
+        for number in range(CONNECTIONS):
+            holder = {"lock": asyncio.Lock(), "client": None}
+            name = f"client {front_end.name}/{number}"
+            self.tasks += [asyncio.ensure_future(self.lane(name, holder)) for _ in range(OPEN_REQUESTS)]
+
+    async def client(self, name, holder):
+        """The present connection; None while there is none and none may be opened."""
+        async with holder["lock"]:
+            client = holder["client"]
+            if client is not None and not client.closed.is_set():
+                return client
+            if self.closed_since is not None and time.time() > self.closed_since + NEW_CONNECTIONS_S:
+                return None
+            try:
+                holder["client"] = await SlowClient(name, self.front_end, self.record, BYTES_PER_S).connect()
+            except OSError:
+                return None
+            return holder["client"]
+
+    async def lane(self, name, holder):
+        while not self.stop.is_set():
+            client = await self.client(name, holder)
+            if client is None or client.is_broken or len(client.open) >= client.MOST_OPEN:
+                await asyncio.sleep(0.05)
+                continue
+            kind, give_up_ms = random.choice([("tile-render", 4000), ("tile-order", 5000)])
+            request = client.send(kind, random.choice(FUNCTIONS), random.randint(give_up_ms // 2, give_up_ms))
+            if request is not None:
+                self.requests.append(request)
+                await request.done
+            await asyncio.sleep(random.uniform(0, 0.05))
+
+
+async def drain_again_and_again(clients, wait_s, drains):
+    front_end, record = clients.front_end, clients.record
+    await asyncio.sleep(wait_s)
+    for _ in range(DRAINS_EACH):
+        if TROUBLE:
+            drains.append((front_end.name, time.time()))
+            answer = await front_end.call_admin("evacuate")
+            clients.closed_since = time.time()
+            record.line(f"{front_end.name}: evacuate: {answer}")
+        await asyncio.sleep(DRAINED_S)
+        if TROUBLE:
+            answer = await front_end.call_admin("activate")
+            clients.closed_since = None
+            record.line(f"{front_end.name}: activate: {answer}")
+        await asyncio.sleep(IN_USE_S)
 
 
 async def play(record, folder, front_ends):
@@ -111,47 +89,32 @@
     if started is None:
         return None
     _, hosts = started
-    watch, stop = Watch(), asyncio.Event()
-    requests, lanes = await start_usual_clients(front_ends, record, stop)
-    memory = asyncio.ensure_future(watch_memory(front_ends[0], record, stop))
+    watch, stop, drains = Watch(), asyncio.Event(), []
+    all_clients = [SlowClients(front_end, record, stop) for front_end in front_ends]
     await asyncio.sleep(CALM_S)
-    bad, count = [], multiprocessing.Value("q", 0)
-    if TROUBLE:
-        until = time.time() + BAD_S
-        bad = [
-            multiprocessing.Process(target=bad_clients, args=(front_ends[0].port, until, count), daemon=True)
-            for _ in range(PROCESSES)
-        ]
-        for process in bad:
-            process.start()
-        record.line(f"{PROCESSES * CONNECTIONS_EACH} connections at a time arrive half-written at {front_ends[0].name}")
-    await asyncio.sleep(BAD_S)
-    record.line("no more of them arrive")
+    await asyncio.gather(*(drain_again_and_again(clients, 2 * i, drains) for i, clients in enumerate(all_clients)))
     stop.set()
-    await asyncio.wait(lanes, timeout=8)
-    await memory
-    for process in bad:
-        process.join(3)
-        if process.is_alive():
-            process.kill()
-            process.join()
-    record.line(f"{count.value} half-written connections in all")
-    forwarded = {number for host in hosts for _, kind, number in host.arrivals if kind == "request"}
+    await asyncio.wait([task for clients in all_clients for task in clients.tasks], timeout=8)
+    ran = set().union(*(host.ran for host in hosts))
     lost = 0
-    for name, sent in requests.items():
-        unanswered = [request for request in sent if request.ended_at is not None and request.answer is None]
-        # Not counted: what was never sent on to a host, and an answer that had begun.
-        broken = [r for r in unanswered if int(r.request_id, 16) in forwarded and not r.has_begun]
+    for clients in all_clients:
+        name = clients.front_end.name
+        unanswered = [r for r in clients.requests if r.ended_at is not None and r.answer is None]
+        # Not counted: what no host ran, and an answer that had begun to come.
+        broken = [r for r in unanswered if int(r.request_id, 16) in ran and not r.has_begun]
         for request in broken:
+            since = [at for drained, at in drains if drained == name and request.sent_at < at < request.ended_at]
             record.line(
                 f"lost at {name}: {request.request_id} ({request.kind}) ran at a host, its connection ended without an answer"
-                f" {(request.ended_at - request.sent_at) * 1000:.0f} ms after it was sent"
+                f" {(request.ended_at - request.sent_at) * 1000:.0f} ms after it was sent, "
+                + ("sent before the drain" if since else "sent after the drain, on an open connection")
             )
         lost += len(broken)
         record.line(
-            f"{name}: {len(sent)} requests of usual clients, {count_kinds(sent)}, of those without an answer"
-            f" {len(broken)} were sent on to a host and had no byte of an answer"
+            f"{name}: {len(clients.requests)} requests, {count_kinds(clients.requests)}, of those without an answer"
+            f" {len(broken)} ran at a host and had no byte of an answer"
         )
+    record.line(f"{lost} requests lost in {len(drains)} drains")
     record.line(f"the stand-ins were late by {watch.worst * 1000:.0f} ms at most")
     return None if watch.is_late() else lost == 0
 
