--- a/review/standins/standin.py
+++ b/review/standins/standin.py
@@ -26,10 +26,22 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
+given_ports = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port that nobody listens on, below those that the system gives to outgoing connections; never the same twice."""
+    while True:
+        port = random.randint(15_000, 32_000)
+        if port in given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        given_ports.add(port)
+        return port
 
 
 def run_command():
