Tests: a front end's ports are reserved together, so that they differ

Cause: free_address asked the system twice for a free port of the same IP address and gave the first back in between, so clients and operators could get the same port. Both ports are now bound before either is given back, so equal ports cannot come. Ruled out: another process taking the port, as the IP address is used by one front end alone.

--- a/wrenseam/tests/platform/front_end.rs
+++ b/wrenseam/tests/platform/front_end.rs
@@ -2,7 +2,7 @@
 use super::program::{admin_command, create_run_folder, write_file, Program};
 use super::{unique_loopback_address, Deployment, EventLog};
 use std::ffi::OsStr;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -54,8 +54,7 @@
     ) -> FrontEnd {
         let folder = create_run_folder("platform-");
         let ip = unique_loopback_address();
-        let address = free_address(SocketAddr::new(ip, 0));
-        let admin_address = free_address(SocketAddr::new(ip, 0));
+        let [address, admin_address] = free_addresses(ip);
         write_config(&settings, &folder, log, discovery, 0);
         let program = launch(&settings, &folder, address, admin_address);
         FrontEnd {
@@ -153,10 +152,13 @@
     }
 }
 
-/// A free port at an IP address. It stays free: the system gives it to no client, as nothing else uses this IP address.
-fn free_address(any_port: SocketAddr) -> SocketAddr {
-    let listener = TcpListener::bind(any_port).expect("a port");
-    listener.local_addr().expect("bound")
+/// Different free ports at an IP address. They stay free: the system gives them to no client, as nothing else uses this
+/// IP address. All are bound at the same time, as the system may otherwise give the same port again.
+fn free_addresses<const COUNT: usize>(ip: IpAddr) -> [SocketAddr; COUNT] {
+    let listeners = [(); COUNT].map(|()| TcpListener::bind((ip, 0)).expect("a port"));
+    listeners
+        .each_ref()
+        .map(|listener| listener.local_addr().expect("bound"))
 }
 
 /// Writes the configuration file. Its seed depends on the front end's index and on `start_count`, the number of
