Workers: answers that have arrived count although a write on the connection fails

What callers saw: a worker that answers everything and then closes, as one that drains may, makes the next write on its connection fail. All attempts open there were then reported as reset, also those whose answers were already in the receive buffer; a request that must not run twice failed although it had been answered. Cause: Writer::run ended all open exchanges itself (ConnectionState::close) right after the failed write, before the reader had its turn. Change: the writer shuts the connection down and waits for the reader, which reads what has arrived up to the end of the stream and then ends the rest. What is not read is bounded as before: after the shutdown no read waits. Ruled out: the keepalive's close, which asks for unread input already; the v2 transport, whose connections carry one exchange, which the reader of its response ends.

--- a/wrenseam/src/worker/frames/writer.rs
+++ b/wrenseam/src/worker/frames/writer.rs
@@ -12,7 +12,8 @@
 use crate::net::{sleep, spawn, ErrorAction, SystemCalls};
 use crate::queue::CoreHandle;
 use may::net::TcpStream;
-use may::sync::mpsc::Receiver;
+use may::sync::mpsc::{channel, Receiver};
+use std::convert::Infallible;
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
@@ -65,7 +66,7 @@
         if let Err(reason) = self.connect_and_write(commands) {
             log_limited!("{}", log_lines::connection_ended(self.address, &reason));
         }
-        self.state.close(&self.reports);
+        self.state.close(&self.reports); // does nothing more if the reader has run
         self.outgoing.end_all();
         // What is handed over from now on is ended by `ConnectionHandle::open`.
         while let Ok(command) = commands.try_recv() {
@@ -77,7 +78,7 @@
 
     fn connect_and_write(&mut self, commands: &Receiver<Command>) -> Result<(), WriteError> {
         let stream = self.connect()?;
-        self.start_reader(&stream)?;
+        let reader_end = self.start_reader(&stream)?;
         let mut end = Ok(());
         while end.is_ok() {
             // Everything is written: wait for the next command. An error means that the core has dropped the idle
@@ -86,7 +87,9 @@
             self.handle_command(command);
             end = self.write_pending(&stream, commands);
         }
-        let _ = stream.shutdown(Shutdown::Both); // ends the reader
+        let _ = stream.shutdown(Shutdown::Both); // ends the reader, behind the responses that have arrived
+        self.outgoing.end_all();
+        let _ = reader_end.recv(); // an error, as nothing is sent: the reader has ended
         end
     }
 
@@ -104,8 +107,11 @@
         Ok(stream)
     }
 
-    fn start_reader(&self, stream: &TcpStream) -> io::Result<()> {
+    /// Starts the reader. The returned channel is disconnected once the reader has ended: only then the exchanges without
+    /// a response are known.
+    fn start_reader(&self, stream: &TcpStream) -> io::Result<Receiver<Infallible>> {
         let address = self.address;
+        let (reader_runs, reader_end) = channel();
         let reader = ResponseReader::new(
             stream.try_clone()?,
             self.state.clone(),
@@ -114,8 +120,10 @@
             self.counted.clone(),
         );
         spawn(self.limits.coroutine_stack_bytes, move || {
-            reader.run(address)
-        })
+            reader.run(address);
+            drop(reader_runs);
+        })?;
+        Ok(reader_end)
     }
 
     fn handle_command(&mut self, command: Command) {
--- a/wrenseam/tests/broken_connections.rs
+++ b/wrenseam/tests/broken_connections.rs
@@ -12,6 +12,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use wrenseam::limits::Limits;
+use wrenseam::model::AttemptKey;
 use wrenseam::net::{DirectCalls, SystemCalls};
 use wrenseam::queue::{CoreHandle, Message};
 use wrenseam::worker::frames::progress::WriteProgress;
@@ -22,6 +23,7 @@
 /// Codes of the frames that the tests receive or send.
 const CODE_CALL: u8 = 2;
 const CODE_CANCEL: u8 = 3;
+const CODE_OK: u8 = 200;
 const CODE_REJECTED: u8 = 203;
 
 /// How long an answer is awaited, in microseconds: longer than the tests take.
@@ -71,6 +73,30 @@
     }
 }
 
+/// The operating system's calls, except that the second write fails once the worker has answered. Until then it keeps the
+/// scheduler's only thread, so that the answer is not read before.
+struct FailingSecondWrite {
+    writes: AtomicUsize,
+    has_begun: Mutex<Sender<()>>,
+}
+
+impl SystemCalls for FailingSecondWrite {
+    fn connect(&self, address: &SocketAddr, timeout: Duration) -> io::Result<MayStream> {
+        DirectCalls.connect(address, timeout)
+    }
+
+    fn write(&self, stream: &MayStream, bytes: &[u8]) -> io::Result<usize> {
+        if self.writes.fetch_add(1, Ordering::AcqRel) == 0 {
+            return DirectCalls.write(stream, bytes);
+        }
+        let _ = self.has_begun.lock().expect("not poisoned").send(());
+        while stream.inner().peek(&mut [0]).is_err() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        Err(io::ErrorKind::BrokenPipe.into())
+    }
+}
+
 fn abort(stream: TcpStream) {
     socket2::SockRef::from(&stream)
         .set_linger(Some(Duration::ZERO))
@@ -250,6 +276,36 @@
     );
 }
 
+/// Guards against answers that are lost with a failed write: a worker that answers everything and closes makes the next
+/// write fail, and its answers are still unread then.
+#[test]
+fn answers_that_have_arrived_count_although_a_write_fails() {
+    let (has_begun, begins) = channel();
+    let (mut transport, reports, listener) = transport_with(Arc::new(FailingSecondWrite {
+        writes: AtomicUsize::new(0),
+        has_begun: Mutex::new(has_begun),
+    }));
+    let limits = AttemptLimits::with_timeout(LONG_TIMEOUT);
+    transport.send(FIRST_ATTEMPT, &request(9), limits);
+    let mut stream = listener.accept().expect("a connection").0;
+    assert_eq!(read_id_and_code(&mut stream), (9, CODE_CALL));
+    let second = AttemptKey {
+        request: 2,
+        ..FIRST_ATTEMPT
+    };
+    transport.send(second, &request(10), limits);
+    begins
+        .recv_timeout(Duration::from_secs(20))
+        .expect("the second write");
+    send_answer(&mut stream, CODE_OK, 9, "detail=resident", b"DONE");
+    let ends = [0, 1].map(|_| match reports.recv_timeout(Duration::from_secs(20)) {
+        Ok(Message::AttemptEnded { key, report }) => (key.request, report.outcome),
+        _ => panic!("no end of an attempt was reported"),
+    });
+    assert!(ends.contains(&(1, Outcome::Ok)), "{ends:?}");
+    assert!(ends.contains(&(2, Outcome::ConnectFailed)), "{ends:?}");
+}
+
 /// A corrupted code may read as one that proves that nothing ran, since the checksum covers only fields and body. An
 /// answer with such a code and a body is not believed, as only the answer to a call that ran has a body.
 #[rstest]
