Fronts: responses that a slow client has not taken yet outlive the end of its connection

Cause: a connection counted as idle, and its writer as done, once the last response was in the system's send buffer. The front end then half-closed it and discarded input for 0.32 s, or not at all if that response was older, and closed. The next request of the client, which could not see the end of the stream behind what it still had to read, was answered with a reset, and that empties the send buffer. Evidence: on Linux a receiver still reads what its own system holds after a reset (a probe: 95,808 of 400,000 bytes), so what is lost is the sender's buffer. The system tells how much of it is unacknowledged (TIOCOUTQ). Change: net/delivery.rs samples that number. A client with over 16 KiB outstanding has fallen behind: its connection is not closed as idle, evicted or shut down until it has caught up and 0.4 s more (the end of the stream must reach it soon, as requests may cross it by 50 ms only), for 10 s at the most, and not if it takes nothing for 5 s. Every close by the front end with something outstanding is a half-close, and it lingers until all is acknowledged and 0.32 s more. A client that sends without end is not read then. A connection whose responses wait too long is half-closed too; what is queued on a closing connection is dropped at once. An eviction ends a linger on which all is delivered; before, it was counted as made and freed nothing. The idle time counts from when a slow client has caught up. Ruled out: a longer linger alone. Requests that arrive in it are not answered, and the end of the stream comes behind 1 s and more of responses. Connections of clients that read nothing free their slots as before (test).

--- a/wrenseam/src/front/connection.rs
+++ b/wrenseam/src/front/connection.rs
@@ -147,7 +147,7 @@
         self.filled_ring = self.ring.len() == self.ring.capacity();
         let is_quiet =
             received == ReadOutcome::NotReady && between_requests && self.ring.is_empty();
-        if shutting_down && is_quiet && self.channel.slot.is_idle() && !self.has_unread_input() {
+        if shutting_down && is_quiet && self.is_idle() && !self.has_unread_input() {
             self.close_gracefully();
             return Ok(Flow::Ended);
         }
@@ -201,12 +201,19 @@
         self.channel.out.is_closing() || self.channel.out.is_aborted()
     }
 
+    /// Whether no request is open and the client has taken its responses.
+    fn is_idle(&self) -> bool {
+        let slot = &self.channel.slot;
+        slot.is_idle() && !slot.is_client_behind()
+    }
+
     /// Half-closes the connection if a response may still be in flight, and it then lingers. Otherwise [`serve`] closes
     /// it without a linger.
     fn close_gracefully(&self) {
         let linger = self.context.limits.linger_timeout;
-        self.channel
-            .close_if(self.channel.slot.finished_within(linger));
+        let is_in_flight =
+            self.channel.slot.finished_within(linger) || self.channel.out.has_undelivered();
+        self.channel.close_if(is_in_flight);
     }
 }
 
@@ -244,6 +251,8 @@
         .and_then(|mut reader| read(&mut reader, &client));
     if let Err(error) = ended {
         protocol.log.closed(protocol.front, &peer, &error);
+        // Whatever the client did, the responses that it was sent before are delivered.
+        channel.close_if(channel.out.has_undelivered());
     }
     client.mark_disconnected();
     context.core.client_disconnected(guard.slot.number);
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -81,10 +81,18 @@
 /// Interval at which a client connection checks its timeouts, the shortest of which is 2 s.
 const CLIENT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time that a client has to close its side after the front end's half-close. It fits into the time that a stopping
-/// process has.
+/// Time that a client has to close its side once everything up to the front end's half-close has reached it. It fits into
+/// the time that a stopping process has.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(320);
 
+/// More undelivered bytes than this mean that a client reads more slowly than it is answered: one that reads as fast
+/// takes them within a few ms.
+const DELIVERY_BACKLOG_BYTES: usize = 16 * KIB;
+/// Time in which a client that had fallen behind reads what its own system still holds.
+const DELIVERY_SETTLE_TIME: Duration = Duration::from_millis(400);
+/// Time that a client has to take its responses: enough for the fullest queue and send buffer at 0.5 MB a second.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Bytes of a malformed request that are read and discarded, so that its client can read the response.
 const DISCARDED_BYTES_MAX: usize = 64 * KIB;
 
@@ -196,8 +204,15 @@
     pub drain_idle_timeout: Duration,
     /// Interval at which a client connection checks these timeouts.
     pub client_check_interval: Duration,
-    /// A client connection is read for this long after its half-close, unless the client closes sooner.
+    /// A client connection is read for this long after everything up to its half-close was delivered, unless the client
+    /// closes sooner.
     pub linger_timeout: Duration,
+    /// A client with more undelivered response bytes than this has fallen behind; its connection is not closed as idle.
+    pub max_delivery_backlog: usize,
+    /// A client counts as behind for this long after its backlog has gone.
+    pub delivery_settle_time: Duration,
+    /// A client that has not taken its responses for this long after the last of them is no longer waited for.
+    pub delivery_timeout: Duration,
     /// A client connection is closed after this many discarded bytes of malformed requests.
     pub max_discarded_bytes: usize,
 
@@ -279,6 +294,9 @@
             drain_idle_timeout: Duration::ZERO,
             client_check_interval: CLIENT_CHECK_INTERVAL,
             linger_timeout: LINGER_TIMEOUT,
+            max_delivery_backlog: DELIVERY_BACKLOG_BYTES,
+            delivery_settle_time: DELIVERY_SETTLE_TIME,
+            delivery_timeout: DELIVERY_TIMEOUT,
             max_discarded_bytes: DISCARDED_BYTES_MAX,
             descriptors: process.descriptors,
             max_v2_connections_per_worker: max_v2_connections(process.descriptors),
--- a/wrenseam/src/net/mod.rs
+++ b/wrenseam/src/net/mod.rs
@@ -1,11 +1,11 @@
 //! Networking that all connections share: coroutines, system calls and the handling of their errors, the sending side
 //! of client connections, and the limit on the number of client connections.
 mod calls;
+mod delivery;
 mod failure;
 mod fairness;
 pub mod messages;
 mod outbox;
-
 mod slots;
 mod writer;
 
--- a/wrenseam/src/net/outbox.rs
+++ b/wrenseam/src/net/outbox.rs
@@ -1,4 +1,5 @@
 //! The sending side of a client connection: any thread queues responses, and a coroutine writes them.
+use super::delivery::{unacknowledged_bytes, DeliveryProgress};
 use super::writer::{queued_size, ConnectionWriter, UnsentBytes, WriteCommand};
 use super::{messages, sleep, spawn, would_block, DirectCalls, SystemCalls};
 use crate::limits::Limits;
@@ -10,7 +11,7 @@
 use std::io::{self, Read};
 use std::net::Shutdown;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Weak};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Instant;
 
 /// A lingering connection's reads time out after `Limits::linger_timeout` divided by this, so that the end of the
@@ -55,6 +56,8 @@
     is_aborted: AtomicBool,
     /// Whether the writer has ended.
     has_writer_ended: AtomicBool,
+    /// Whether the connection lingers and everything has been delivered on it.
+    is_delivered: AtomicBool,
 }
 
 /// The sending side of a client connection.
@@ -64,8 +67,8 @@
     unsent: UnsentBytes,
     close_state: Arc<CloseState>,
     budget: MemoryBudget,
-    /// Maximum number of unsent response bytes on the connection.
-    unsent_limit: usize,
+    limits: Arc<Limits>,
+    delivery: Arc<Mutex<DeliveryProgress>>,
     client_probe: Arc<SocketProbe>,
     socket: Weak<ClientSocket>,
 }
@@ -102,7 +105,8 @@
             unsent: UnsentBytes::new(unsent_bytes),
             close_state: Arc::default(),
             budget: budget.clone(),
-            unsent_limit: limits.max_unsent_bytes,
+            limits: limits.clone(),
+            delivery: Arc::new(Mutex::new(DeliveryProgress::new(Instant::now()))),
             client_probe: Arc::new(SocketProbe(Arc::downgrade(&socket))),
             socket: Arc::downgrade(&socket),
         };
@@ -122,18 +126,19 @@
         self.client_probe.clone()
     }
 
-    /// Queues bytes for writing. If too many are unsent on this connection, or the memory budget is used up, the
-    /// connection is aborted instead: a client that does not read its responses must not take memory from others.
+    /// Queues bytes for writing, unless the connection is closing. If too many are unsent on this connection, or the
+    /// memory budget is used up, the connection closes once those are written: a client that does not read its responses
+    /// must not take memory from others.
     pub fn send(&self, bytes: Vec<u8>) {
-        if self.is_aborted() {
+        if self.is_closing() || self.is_aborted() {
             return;
         }
         let size = queued_size(&bytes);
         let reserved = self.budget.reserve(size);
         let unsent = self.unsent.on_connection();
-        if reserved.is_none() || unsent + size > self.unsent_limit {
+        if reserved.is_none() || unsent + size > self.limits.max_unsent_bytes {
             log_limited!("{}", messages::responses_unread(unsent));
-            return self.abort();
+            return self.close();
         }
         self.unsent.add(size);
         let command = WriteCommand::Write { bytes, reserved };
@@ -149,22 +154,24 @@
         let _ = self.commands.send(WriteCommand::HalfClose); // fails if the writer has ended: closed already
     }
 
-    /// Closes the connection once everything queued is written, without reading further. For connections without a
-    /// pending request, or whose client has left or does not read its responses.
+    /// Closes the connection once everything queued is written, without reading further. For connections whose client
+    /// has left, or on which everything has been delivered.
     pub fn abort(&self) {
         if !self.close_state.is_aborted.swap(true, Ordering::AcqRel) {
             let _ = self.commands.send(WriteCommand::Close); // fails if the writer has ended: closed already
         }
     }
 
-    /// Closes the connection at once, unless it has unread input or unsent responses. Returns whether it is closed;
-    /// nothing that the client sends after that is read.
-    pub(super) fn close_if_idle(&self) -> bool {
+    /// Closes the connection for another one, unless it has unread input or responses that the client is still taking.
+    /// Returns whether it is closed; nothing that the client sends after that is read.
+    pub(super) fn evict(&self) -> bool {
+        if self.is_closing() {
+            return self.end_linger();
+        }
         let Some(socket) = self.socket.upgrade() else {
             return true;
         };
-        if self.unsent.any_on_connection() || self.client_probe.state() == ClientState::UnreadInput
-        {
+        if self.is_delivering() || self.has_unread_input() {
             return false;
         }
         let _ = socket.0.shutdown(Shutdown::Both); // fails if the connection has ended by itself
@@ -172,6 +179,59 @@
         true
     }
 
+    /// Whether the client has sent something that is not read yet: a read may time out although input has arrived, while
+    /// other coroutines keep the scheduler's thread busy.
+    fn has_unread_input(&self) -> bool {
+        self.client_probe.state() == ClientState::UnreadInput
+    }
+
+    /// Ends the linger if everything has been delivered. Returns whether it ends.
+    fn end_linger(&self) -> bool {
+        let is_delivered = self.close_state.is_delivered.load(Ordering::Acquire);
+        if is_delivered {
+            self.abort();
+        }
+        is_delivered
+    }
+
+    /// Whether the client, whose last request ended at `idle_since`, is still taking its responses: the end of the
+    /// stream would reach it late, and a reset would destroy them.
+    pub(super) fn is_client_behind(&self, idle_since: Instant) -> bool {
+        let Some(delivery) = self.observe_delivery() else {
+            return false;
+        };
+        delivery.is_behind(Instant::now(), &self.limits)
+            && idle_since.elapsed() < self.limits.delivery_timeout
+    }
+
+    /// When the client has caught up with reading its responses; `None` if it has not, or never was behind.
+    pub(super) fn caught_up_at(&self) -> Option<Instant> {
+        self.observe_delivery()?.caught_up_at(&self.limits)
+    }
+
+    /// Whether a response is on its way to the client.
+    pub fn has_undelivered(&self) -> bool {
+        self.observe_delivery()
+            .is_some_and(|delivery| !delivery.is_complete())
+    }
+
+    /// Whether the client is still taking its responses.
+    fn is_delivering(&self) -> bool {
+        let is_delivering = |delivery: DeliveryProgress| {
+            !delivery.is_complete() && !delivery.is_stalled(Instant::now(), &self.limits)
+        };
+        self.observe_delivery().is_some_and(is_delivering)
+    }
+
+    /// Samples the delivery. `None` once the writer has ended.
+    fn observe_delivery(&self) -> Option<DeliveryProgress> {
+        let socket = self.socket.upgrade()?;
+        let undelivered = self.unsent.on_connection() + unacknowledged_bytes(&socket.0);
+        let mut delivery = self.delivery.lock().ok()?;
+        delivery.observe(undelivered, Instant::now(), &self.limits);
+        Some(*delivery)
+    }
+
     /// Whether a half-close has been requested; the connection lingers after it.
     pub fn is_closing(&self) -> bool {
         self.close_state.is_closing.load(Ordering::Acquire)
@@ -186,9 +246,9 @@
         self.close_state.is_aborted.load(Ordering::Acquire)
     }
 
-    /// Half-closes the connection, then reads and discards input until the client has closed too or the limits on time
-    /// and bytes are reached, and waits until everything queued is written. Closing a connection while input is unread
-    /// or still arriving would send a reset, which destroys responses in flight.
+    /// Half-closes the connection, then reads and discards input until the client has closed too, or until everything
+    /// has been delivered and the client had time to close, and waits until everything queued is written. Closing a
+    /// connection while input is unread or still arriving would send a reset, which destroys responses in flight.
     pub fn linger(&self, stream: TcpStream, limits: &Limits) {
         self.close();
         self.discard_input(stream, limits);
@@ -207,21 +267,40 @@
 
     fn discard_input(&self, mut stream: TcpStream, limits: &Limits) {
         let started_at = Instant::now();
+        let mut delivery = DeliveryProgress::new(started_at);
         let mut discarded = 0;
         let mut bytes = vec![0; limits.client_ring_bytes];
         let read_timeout = limits.linger_timeout / LINGER_READ_DIVISOR;
         if stream.set_read_timeout(Some(read_timeout)).is_err() {
             return;
         }
-        while discarded <= limits.max_discarded_bytes {
-            match stream.read(&mut bytes) {
-                Ok(read) if read > 0 => discarded += read,
-                Err(error) if would_block(&error) => {}
-                _ => return,
+        loop {
+            // A client that sends without end fills its own buffers while its responses are delivered.
+            let is_full = discarded > limits.max_discarded_bytes;
+            if is_full {
+                sleep(read_timeout);
+            } else {
+                match stream.read(&mut bytes) {
+                    Ok(read) if read > 0 => discarded += read,
+                    Err(error) if would_block(&error) => {}
+                    _ => return,
+                }
+            }
+            let now = Instant::now();
+            let undelivered = self.unsent.on_connection() + unacknowledged_bytes(&stream);
+            delivery.observe(undelivered, now, limits);
+            if !self.has_writer_ended() {
+                continue; // ends in any case, as `Limits::write_stall_timeout` bounds how long it takes
             }
-            // An aborted connection does not linger: its slot may be needed for another client.
-            let is_over = started_at.elapsed() > limits.linger_timeout || self.is_aborted();
-            if self.has_writer_ended() && is_over {
+            // A connection that was evicted does not linger: its slot may be needed for another client.
+            let is_over = is_full || self.is_aborted() || delivery.has_lingered(now, limits);
+            let is_delivered = delivery.is_complete();
+            self.close_state
+                .is_delivered
+                .store(is_delivered, Ordering::Release);
+            let is_given_up = delivery.is_stalled(now, limits)
+                || now.duration_since(started_at) > limits.delivery_timeout;
+            if is_delivered && is_over || is_given_up {
                 return;
             }
         }
--- a/wrenseam/src/net/slots.rs
+++ b/wrenseam/src/net/slots.rs
@@ -42,6 +42,23 @@
     outbox: Option<Outbox>,
 }
 
+impl SlotState {
+    /// Whether the client is still taking its responses.
+    fn is_client_behind(&self) -> bool {
+        let idle_since = self.activity.idle_since;
+        let outbox = self.outbox.as_ref();
+        outbox.is_some_and(|outbox| outbox.is_client_behind(idle_since))
+    }
+
+    /// Since when the connection has been idle: since the last request ended, or since the client caught up with reading
+    /// its responses if that was later.
+    fn idle_since(&self) -> Instant {
+        let ended_at = self.activity.idle_since;
+        let caught_up_at = self.outbox.as_ref().and_then(Outbox::caught_up_at);
+        caught_up_at.map_or(ended_at, |at| ended_at.max(at))
+    }
+}
+
 /// The slot of one client connection.
 pub struct ConnectionSlot {
     /// The connection's number, unique in the process.
@@ -112,8 +129,8 @@
         });
     }
 
-    /// Evicts the connection, unless it has an open request, unread input or unsent responses. The check holds the lock
-    /// that `begin_request` takes, so no request is accepted on a connection that is being evicted. Returns whether the
+    /// Evicts the connection, unless it has an open request, unread input or undelivered responses. The check holds the
+    /// lock that `begin_request` takes, so no request is accepted on a connection that is being evicted. Returns whether the
     /// connection is evicted.
     fn evict(&self) -> bool {
         let Ok(mut state) = self.state.lock() else {
@@ -121,7 +138,7 @@
         };
         let SlotState { activity, outbox } = &mut *state;
         if !activity.is_evicted && activity.open_requests == 0 {
-            activity.is_evicted = outbox.as_ref().is_some_and(Outbox::close_if_idle);
+            activity.is_evicted = outbox.as_ref().is_some_and(Outbox::evict);
         }
         activity.is_evicted
     }
@@ -143,6 +160,13 @@
         state.is_ok_and(|state| state.activity.idle_since.elapsed() <= duration)
     }
 
+    /// Whether the client is still taking its responses. Such a connection is not closed as idle.
+    pub fn is_client_behind(&self) -> bool {
+        self.state
+            .lock()
+            .is_ok_and(|state| state.is_client_behind())
+    }
+
     /// Whether the connection has been idle for long enough to be closed. Guards descriptors and memory against clients
     /// that send nothing, or send one request and stay connected. Usual clients close sooner.
     pub fn has_idle_timed_out(&self, limits: &Limits) -> bool {
@@ -151,7 +175,8 @@
         };
         let activity = state.activity;
         activity.open_requests == 0
-            && activity.idle_since.elapsed() > self.idle_timeout(&activity, limits)
+            && !state.is_client_behind()
+            && state.idle_since().elapsed() > self.idle_timeout(&activity, limits)
     }
 
     fn idle_timeout(&self, activity: &Activity, limits: &Limits) -> Duration {
--- /dev/null
+++ b/wrenseam/tests/unread_responses.rs
@@ -0,0 +1,241 @@
+//! Connections that the front end closes while their clients still have responses to read: the responses are written,
+//! but a client that reads slowly does not have them yet, and goes on sending requests. A reset would destroy them.
+mod common;
+
+use common::{connect, fastcgi_record, Protocol, FUNCTION};
+use rstest::rstest;
+use socket2::SockRef;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use wrenseam::front::{fastcgi, kserve, ListenerContext, Serve};
+use wrenseam::limits::Limits;
+use wrenseam::queue::{CoreHandle, Message};
+use Protocol::{Kserve as V2, Platform};
+
+/// FastCGI record type of a question for variables.
+const GET_VALUES: u8 = 9;
+/// Each FastCGI question is answered with some 57 KB.
+const FASTCGI_QUESTIONS: usize = 6;
+/// Each v2 question is answered with some 350 bytes.
+const V2_QUESTIONS: usize = 1_000;
+/// Idle timeout of the tests.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a client reads nothing: longer than a connection lingers after its last response.
+const UNREAD_TIME: Duration = Duration::from_millis(1_200);
+/// Pause after each read of a slow client.
+const READ_PAUSE: Duration = Duration::from_millis(5);
+/// No test takes longer.
+const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Why the front end closes the connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Ending {
+    Drain,
+    Shutdown,
+    IdleTimeout,
+    Eviction,
+    InvalidInput,
+}
+
+/// A front with one connection.
+struct Front {
+    client: TcpStream,
+    context: ListenerContext,
+    /// Keeps the core's queue open; no request of these tests reaches the core.
+    _inbox: Receiver<Message>,
+}
+
+impl Front {
+    fn start(protocol: Protocol, change: impl FnOnce(&mut Limits)) -> Front {
+        may::config().set_workers(1).set_worker_pin(false); // as the program has it
+        let mut limits = Limits::new(192, 1024, &wrenseam_policy::Settings::default());
+        change(&mut limits);
+        let (core, inbox) = channel();
+        let context = ListenerContext::new(CoreHandle::new(core), Arc::new(limits), Arc::default());
+        let listener = may::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let serve: Serve = if protocol == Platform {
+            fastcgi::serve
+        } else {
+            kserve::serve
+        };
+        let connection_context = context.clone();
+        wrenseam::net::spawn(context.limits.coroutine_stack_bytes, move || {
+            let (stream, _) = listener.accept().expect("a connection");
+            let guard = connection_context.slots.acquire().expect("a slot");
+            serve(stream, &connection_context, guard);
+        })
+        .expect("a coroutine");
+        Front {
+            client: connect(address),
+            context,
+            _inbox: inbox,
+        }
+    }
+
+    /// Sends questions that the front answers itself, and waits until the responses are in the system's buffers.
+    fn ask(&mut self, questions: &[u8]) {
+        self.client.write_all(questions).expect("written");
+        let since = Instant::now();
+        let mut answered = false;
+        while !answered || self.context.unsent_bytes.load(Ordering::Acquire) > 0 {
+            assert!(since.elapsed() < TEST_TIMEOUT, "not written");
+            let mut first = [0];
+            answered = self.client.peek(&mut first).is_ok_and(|count| count > 0);
+            std::thread::sleep(READ_PAUSE);
+        }
+    }
+}
+
+/// A question that a front answers itself.
+fn question(protocol: Protocol) -> Vec<u8> {
+    match protocol {
+        Platform => fastcgi_record(GET_VALUES, 0, &b"\x0e\0FCGI_MAX_CONNS".repeat(3_000)),
+        V2 => format!("GET /v2/models/{FUNCTION} HTTP/1.1\r\nHost: t\r\n\r\n").into_bytes(),
+    }
+}
+
+fn questions(protocol: Protocol) -> Vec<u8> {
+    let count = match protocol {
+        Platform => FASTCGI_QUESTIONS,
+        V2 => V2_QUESTIONS,
+    };
+    question(protocol).repeat(count)
+}
+
+/// Reads slowly until the connection ends. Returns the number of bytes.
+fn read_slowly(client: &mut TcpStream) -> std::io::Result<usize> {
+    let mut total = 0;
+    loop {
+        match client.read(&mut [0; 16_384])? {
+            0 => return Ok(total),
+            count => total += count,
+        }
+        std::thread::sleep(READ_PAUSE);
+    }
+}
+
+/// The number of bytes with which a front answers these questions.
+fn response_bytes(protocol: Protocol, questions: &[u8]) -> usize {
+    let mut front = Front::start(protocol, |_| {});
+    let mut sender = front.client.try_clone().expect("cloned");
+    let questions = questions.to_vec();
+    let sending = std::thread::spawn(move || {
+        sender.write_all(&questions).expect("written");
+        sender
+            .shutdown(std::net::Shutdown::Write)
+            .expect("the end of the requests");
+    });
+    let total = read_slowly(&mut front.client).expect("all responses");
+    sending.join().expect("sent");
+    total
+}
+
+/// Guards against a connection that is closed because nothing is owed on it while its client has not read the
+/// responses: the next request on it was answered with a reset, which destroyed them.
+#[rstest]
+fn a_slow_client_gets_its_responses_whatever_ends_its_connection(
+    #[values(Platform, V2)] protocol: Protocol,
+    #[values(
+        Ending::Drain,
+        Ending::Shutdown,
+        Ending::IdleTimeout,
+        Ending::Eviction,
+        Ending::InvalidInput
+    )]
+    ending: Ending,
+) {
+    let questions = questions(protocol);
+    let expected = response_bytes(protocol, &questions);
+    let mut front = Front::start(protocol, |limits| {
+        if ending == Ending::IdleTimeout {
+            limits.first_request_timeout = IDLE_TIMEOUT;
+        }
+    });
+    front.ask(&questions);
+    let context = front.context.clone();
+    let has_ended = Arc::new(AtomicBool::new(false));
+    match ending {
+        Ending::Drain => context
+            .process_state
+            .draining
+            .store(true, Ordering::Release),
+        Ending::Shutdown => {
+            context
+                .process_state
+                .draining
+                .store(true, Ordering::Release);
+            context.shutting_down.store(true, Ordering::Release);
+        }
+        Ending::IdleTimeout => {}
+        Ending::Eviction => {
+            let has_ended = has_ended.clone();
+            std::thread::spawn(move || {
+                while !has_ended.load(Ordering::Acquire) {
+                    context.slots.evict_idle();
+                    std::thread::sleep(READ_PAUSE);
+                }
+            });
+        }
+        Ending::InvalidInput => front.client.write_all(&[0xff; 64]).expect("written"),
+    }
+    std::thread::sleep(UNREAD_TIME);
+    // What the client sends before it has read the end of the stream. The write fails after a reset.
+    let _ = front.client.write_all(&question(protocol));
+    let received = read_slowly(&mut front.client);
+    has_ended.store(true, Ordering::Release);
+    let received = received.expect("closed without a reset");
+    assert!(received >= expected, "{received} of {expected} bytes");
+}
+
+/// Guards against a reset of a connection that is closed because too many responses wait on it: those that were queued
+/// before reach a client that still reads.
+#[test]
+fn responses_queued_before_too_many_waited_reach_a_slow_client() {
+    let max_unsent = 128 * 1024;
+    let mut front = Front::start(Platform, |limits| limits.max_unsent_bytes = max_unsent);
+    let mut sender = front.client.try_clone().expect("cloned");
+    let endless = question(Platform);
+    std::thread::spawn(move || while sender.write_all(&endless).is_ok() {});
+    let since = Instant::now();
+    let unsent = || front.context.unsent_bytes.load(Ordering::Acquire);
+    while unsent() < max_unsent / 2 {
+        assert!(since.elapsed() < TEST_TIMEOUT, "nothing waits");
+        std::thread::sleep(READ_PAUSE);
+    }
+    std::thread::sleep(UNREAD_TIME);
+    let mut head = [0; 8];
+    loop {
+        match front.client.read(&mut head[..1]).expect("no reset") {
+            0 => break,
+            _ => front.client.read_exact(&mut head[1..]).expect("a head"),
+        }
+        let content = usize::from(u16::from_be_bytes([head[4], head[5]]));
+        let mut rest = vec![0; content + usize::from(head[6])];
+        front.client.read_exact(&mut rest).expect("a whole record");
+        std::thread::sleep(READ_PAUSE);
+    }
+}
+
+/// A client that takes nothing does not keep its connection: the front end closes it, and frees its slot.
+#[rstest]
+fn a_client_that_reads_nothing_is_not_waited_for(#[values(Platform, V2)] protocol: Protocol) {
+    let mut front = Front::start(protocol, |limits| {
+        limits.first_request_timeout = IDLE_TIMEOUT;
+        limits.write_stall_timeout = IDLE_TIMEOUT;
+    });
+    SockRef::from(&front.client)
+        .set_recv_buffer_size(4_096)
+        .expect("set");
+    front.ask(&questions(protocol));
+    let since = Instant::now();
+    let connections = &front.context.process_state.client_connections;
+    while connections.load(Ordering::Acquire) > 0 {
+        assert!(since.elapsed() < TEST_TIMEOUT, "the slot is still in use");
+        std::thread::sleep(READ_PAUSE);
+    }
+}
