Drain: requests on open connections are rejected after 1 s, so that the drain ends

Cause: a drain only waited for an instant without open requests; only a process about to exit rejected new ones. Change: ProcessState::rejects_requests, for both fronts: after the exit has begun as before, or 1 s (drain_serve_time) after a drain began. What was taken before is answered. The advice is 0.3 s, by when the connection has closed and the retry goes elsewhere; v2 has Retry-After: 1 as for other rejections of the front.

--- a/wrenseam/src/core/admin.rs
+++ b/wrenseam/src/core/admin.rs
@@ -89,7 +89,7 @@
 
     /// Starts to drain: the front end reports that it is not ready, and client connections close once they are idle.
     fn evacuate(&mut self) -> AdminReply {
-        if !self.process_state.draining.swap(true, Ordering::AcqRel) {
+        if self.process_state.start_drain() {
             log_line!("{}", LogLine::Draining);
         }
         AdminReply::DrainStarted
@@ -97,7 +97,7 @@
 
     /// Ends the drain: the front end accepts clients again.
     fn activate(&mut self) -> AdminReply {
-        if self.process_state.draining.swap(false, Ordering::AcqRel) {
+        if self.process_state.end_drain() {
             log_line!("{}", LogLine::Activated);
         }
         AdminReply::Ready
--- a/wrenseam/src/front/fastcgi/dispatch.rs
+++ b/wrenseam/src/front/fastcgi/dispatch.rs
@@ -13,6 +13,10 @@
 /// another process accepts the request at once.
 const SHUTDOWN_RETRY_AFTER: Micros = 1_000;
 
+/// The retry advice of a process that drains, in µs: its connection has closed by then, unless its client is slow, and
+/// the retry goes to another process.
+const DRAIN_RETRY_AFTER: Micros = 300_000;
+
 impl FastCgiConnection<'_> {
     /// Answers a complete request or passes it to the core.
     pub(super) fn complete(
@@ -26,8 +30,9 @@
             self.report_health(request_id, partial.close);
             return Ok(());
         }
-        if self.context.process_state.stopping.load(Ordering::Acquire) {
-            self.reject_in_shutdown(request_id, &parameters, partial);
+        let process_state = &self.context.process_state;
+        if process_state.rejects_requests(&self.context.limits) {
+            self.reject_in_drain(request_id, &parameters, partial);
             return Ok(());
         }
         let request = parameters.to_request(partial.body, &self.context.limits);
@@ -56,22 +61,20 @@
         self.client.channel.respond_directly(response, close);
     }
 
-    /// Rejects a request because the process is about to exit: it might not be served in time here, and another process
+    /// Rejects a request because the process drains or is about to exit: its connection is to close, and another process
     /// accepts the retry.
-    fn reject_in_shutdown(
-        &self,
-        request_id: u16,
-        parameters: &Parameters,
-        partial: PartialRequest,
-    ) {
+    fn reject_in_drain(&self, request_id: u16, parameters: &Parameters, partial: PartialRequest) {
         if let Ok(request) = parameters.to_request(partial.body, &self.context.limits) {
             self.context
                 .core
                 .answered_at_front(request.class, RequestEnd::Rejected);
         }
-        let answer = Answer::Rejected {
-            retry_after: SHUTDOWN_RETRY_AFTER,
+        let retry_after = if self.context.process_state.stopping.load(Ordering::Acquire) {
+            SHUTDOWN_RETRY_AFTER
+        } else {
+            DRAIN_RETRY_AFTER
         };
+        let answer = Answer::Rejected { retry_after };
         let response = answer_response(request_id, &answer);
         self.client
             .channel
--- a/wrenseam/src/front/kserve/routes.rs
+++ b/wrenseam/src/front/kserve/routes.rs
@@ -6,7 +6,6 @@
 use crate::front::{messages, parse_hex_id};
 use crate::http::Status;
 use crate::model::{Request, RequestEnd};
-use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 /// The JSON of the server metadata.
@@ -116,8 +115,8 @@
             return Reply::error(Status::BadRequest, &error.to_string());
         }
     };
-    if context.process_state.stopping.load(Ordering::Acquire) {
-        // The process is about to exit, and another process accepts the retry.
+    if context.process_state.rejects_requests(&context.limits) {
+        // The process drains or is about to exit, and another process accepts the retry.
         context
             .core
             .answered_at_front(request.class, RequestEnd::Rejected);
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -93,6 +93,10 @@
 /// Time that a client has to take its responses: enough for the fullest queue and send buffer at 0.5 MB a second.
 const DELIVERY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time for which a draining front end serves requests that arrive on open connections. It leaves time to deliver the
+/// responses: 4 s after its drain began, a front end holds no connection that is idle or in use.
+const DRAIN_SERVE_TIME: Duration = Duration::from_millis(1_000);
+
 /// Bytes of a malformed request that are read and discarded, so that its client can read the response.
 const DISCARDED_BYTES_MAX: usize = 64 * KIB;
 
@@ -204,6 +208,8 @@
     pub drain_idle_timeout: Duration,
     /// Interval at which a client connection checks these timeouts.
     pub client_check_interval: Duration,
+    /// While the front end drains, requests on open connections are served for this long, and then rejected at once.
+    pub drain_serve_time: Duration,
     /// A client connection is read for this long after everything up to its half-close was delivered, unless the client
     /// closes sooner.
     pub linger_timeout: Duration,
@@ -293,6 +299,7 @@
             client_idle_timeout: CLIENT_IDLE_TIMEOUT,
             drain_idle_timeout: Duration::ZERO,
             client_check_interval: CLIENT_CHECK_INTERVAL,
+            drain_serve_time: DRAIN_SERVE_TIME,
             linger_timeout: LINGER_TIMEOUT,
             max_delivery_backlog: DELIVERY_BACKLOG_BYTES,
             delivery_settle_time: DELIVERY_SETTLE_TIME,
--- a/wrenseam/src/process_state.rs
+++ b/wrenseam/src/process_state.rs
@@ -1,8 +1,10 @@
 //! State that the core, the fronts, gossip and the shutdown share in memory instead of by messages: flags, counts and
 //! the load summary.
 use crate::fleet::{Lifecycle, Summary};
+use crate::limits::Limits;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Instant;
 
 /// The shared state of the process. All flags are false and all counts 0 when it starts.
 #[derive(Default)]
@@ -13,6 +15,8 @@
     pub ready: AtomicBool,
     /// Whether the process drains: it reports that it is not ready, and client connections close once idle.
     pub draining: Arc<AtomicBool>,
+    /// When the last drain began; `None` before the first one.
+    drain_started_at: Mutex<Option<Instant>>,
     /// Whether new requests on open connections are rejected at once, because the process is about to exit.
     pub stopping: AtomicBool,
     /// The number of open client connections.
@@ -43,6 +47,34 @@
         }
     }
 
+    /// Starts a drain. Returns whether none was running.
+    pub fn start_drain(&self) -> bool {
+        if let Ok(mut started_at) = self.drain_started_at.lock() {
+            if !self.draining.load(Ordering::Acquire) {
+                *started_at = Some(Instant::now());
+            }
+        }
+        !self.draining.swap(true, Ordering::AcqRel)
+    }
+
+    /// Ends a drain. Returns whether one was running.
+    pub fn end_drain(&self) -> bool {
+        self.draining.swap(false, Ordering::AcqRel)
+    }
+
+    /// Whether new requests on open connections are rejected at once: the process is about to exit, or a drain has
+    /// lasted for longer than `Limits::drain_serve_time`, and a connection in use would not become idle.
+    pub fn rejects_requests(&self, limits: &Limits) -> bool {
+        if self.stopping.load(Ordering::Acquire) {
+            return true;
+        }
+        if !self.draining.load(Ordering::Acquire) {
+            return false;
+        }
+        let started_at = self.drain_started_at.lock();
+        started_at.is_ok_and(|at| at.is_some_and(|at| at.elapsed() > limits.drain_serve_time))
+    }
+
     /// Whether the front end accepts clients: it has an endpoint list and does not drain. `/healthz` reports this.
     pub fn accepts_clients(&self) -> bool {
         self.ready.load(Ordering::Acquire) && !self.draining.load(Ordering::Acquire)
--- a/wrenseam/tests/unread_responses.rs
+++ b/wrenseam/tests/unread_responses.rs
@@ -2,7 +2,7 @@
 //! but a client that reads slowly does not have them yet, and goes on sending requests. A reset would destroy them.
 mod common;
 
-use common::{connect, fastcgi_record, Protocol, FUNCTION};
+use common::{connect, fastcgi_record, fastcgi_request, read_fastcgi_answer, Protocol, FUNCTION};
 use rstest::rstest;
 use socket2::SockRef;
 use std::io::{Read, Write};
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 use wrenseam::front::{fastcgi, kserve, ListenerContext, Serve};
 use wrenseam::limits::Limits;
+use wrenseam::model::{Answer, Payload};
 use wrenseam::queue::{CoreHandle, Message};
 use Protocol::{Kserve as V2, Platform};
 
@@ -45,8 +46,7 @@
 struct Front {
     client: TcpStream,
     context: ListenerContext,
-    /// Keeps the core's queue open; no request of these tests reaches the core.
-    _inbox: Receiver<Message>,
+    inbox: Receiver<Message>,
 }
 
 impl Front {
@@ -73,7 +73,7 @@
         Front {
             client: connect(address),
             context,
-            _inbox: inbox,
+            inbox,
         }
     }
 
@@ -107,6 +107,26 @@
     question(protocol).repeat(count)
 }
 
+/// A request that the front passes to the core.
+fn request(protocol: Protocol, id: u16) -> Vec<u8> {
+    if protocol == Platform {
+        let wire_id = format!("{id:016x}");
+        let params = [
+            ("SCRIPT_NAME", "/v1/tile-render"),
+            ("HTTP_REQ_ID", &wire_id[..]),
+            ("HTTP_REQ_OWNER", "acme"),
+            ("HTTP_REQ_WAIT_MS", "20000"),
+            ("HTTP_REQ_KEY", FUNCTION),
+        ];
+        return fastcgi_request(id, &params, b"x");
+    }
+    let body =
+        r#"{"parameters":{"class":"tile-render","tenant":"acme","wait_ms":20000},"inputs":[]}"#;
+    let length = body.len();
+    format!("POST /v2/models/{FUNCTION}/infer HTTP/1.1\r\nHost: t\r\nContent-Length: {length}\r\n\r\n{body}")
+        .into_bytes()
+}
+
 /// Reads slowly until the connection ends. Returns the number of bytes.
 fn read_slowly(client: &mut TcpStream) -> std::io::Result<usize> {
     let mut total = 0;
@@ -239,3 +259,58 @@
         std::thread::sleep(READ_PAUSE);
     }
 }
+
+/// Guards against a drain that never ends: on a connection in use there is always a request open, unless requests that
+/// arrive while the drain goes on are rejected at once.
+#[rstest]
+fn a_drain_ends_on_a_connection_in_use(#[values(Platform, V2)] protocol: Protocol) {
+    let serve_time = Duration::from_millis(200);
+    let mut front = Front::start(protocol, |limits| limits.drain_serve_time = serve_time);
+    let next_request = |front: &Front| match front.inbox.recv_timeout(TEST_TIMEOUT) {
+        Ok(Message::Request { client, tag, .. }) => (client, tag),
+        _ => panic!("the request did not reach the core"),
+    };
+    let served = || Answer::Served(Payload::Bytes(b"DONE".to_vec()));
+    front
+        .client
+        .write_all(&request(protocol, 1))
+        .expect("written");
+    let (client, tag) = next_request(&front);
+    assert!(front.context.process_state.start_drain());
+    // Another request arrives before the first is answered: served, as the drain has only begun.
+    front
+        .client
+        .write_all(&request(protocol, 2))
+        .expect("written");
+    let (_, second_tag) = next_request(&front);
+    client.answer(tag, served());
+    std::thread::sleep(2 * serve_time);
+    front
+        .client
+        .write_all(&request(protocol, 3))
+        .expect("written");
+    if protocol == Platform {
+        let head = |client: &mut TcpStream| read_fastcgi_answer(client).expect("an answer").head;
+        assert!(head(&mut front.client).starts_with("Status: 200"));
+        let rejected = head(&mut front.client);
+        assert!(rejected.starts_with("Status: 503"), "{rejected}");
+        assert!(rejected.contains("Srv-Wait-Ms: "), "{rejected}");
+    }
+    client.answer(second_tag, served());
+    let mut rest = String::new();
+    front
+        .client
+        .read_to_string(&mut rest)
+        .expect("closed without a reset");
+    match protocol {
+        Platform => assert_eq!(rest.matches("Status: 200").count(), 1, "{rest}"),
+        V2 => {
+            assert_eq!(rest.matches("HTTP/1.1 200").count(), 2, "{rest}");
+            assert_eq!(rest.matches("HTTP/1.1 503").count(), 1, "{rest}");
+        }
+    }
+    assert!(
+        !matches!(front.inbox.try_recv(), Ok(Message::Request { .. })),
+        "the rejected request reached the core"
+    );
+}
