KServe front: a request that cannot be read ends no pending request before it

Cause: HttpConnection::run answered the unreadable request behind the pending ones, which v2 sends in order, and returned at once; the connection then had no response to close behind and was closed with its pending requests cancelled. Change: respond_last discards input until the connection closes behind its last response, as after Connection: close. Ruled out: the FastCGI front, which keeps such a connection while a request is pending.

--- a/wrenseam/src/front/kserve/connection.rs
+++ b/wrenseam/src/front/kserve/connection.rs
@@ -71,7 +71,7 @@
             }
             // A request that is never completed would otherwise hold the connection's slot and memory forever.
             if decoder.is_overdue(limits.request_read_timeout) {
-                self.respond_last(&HttpError::Timeout);
+                self.respond_last(reader, &HttpError::Timeout);
                 return Err(ConnectionError::RequestTimeout);
             }
             let is_idle = decoder.is_between_requests() && reader.ring.is_empty();
@@ -97,7 +97,7 @@
     ) -> Result<Option<Decoded>, HttpError> {
         decoder
             .next(&mut reader.ring, &self.context.limits)
-            .inspect_err(|error| self.respond_last(error))
+            .inspect_err(|error| self.respond_last(reader, error))
     }
 
     /// Handles what was decoded. Returns whether the connection accepts further requests.
@@ -115,12 +115,14 @@
         }
     }
 
-    /// Sends the response to a request that cannot be read. The connection closes after it.
-    fn respond_last(&self, error: &HttpError) {
+    /// Sends the response to a request that cannot be read, behind those to the requests before it. The connection closes
+    /// after it, and input is discarded until then.
+    fn respond_last(&self, reader: &mut ConnectionReader, error: &HttpError) {
         let tag = self.tag + 1;
         // Sent even if the connection has the maximum number of pending responses.
         let _ = self.client.add_pending(tag, true, usize::MAX);
         self.client.respond(tag, |close| error.response(close));
+        reader.discard_until_closed();
     }
 
     /// Handles a complete request: answers it at once or passes it to the core.
--- a/wrenseam/tests/unread_responses.rs
+++ b/wrenseam/tests/unread_responses.rs
@@ -314,3 +314,29 @@
         "the rejected request reached the core"
     );
 }
+
+/// Guards against a pending request that is never answered because what follows it on its connection is not a complete
+/// request: v2 responses come in the order of the requests.
+#[rstest]
+#[case::half_sent(b"POST /v2/models/x/infer HTTP/1.1\r\n", "HTTP/1.1 408")]
+#[case::invalid(b"\xff\xff\r\n\r\n", "HTTP/1.1 400")]
+fn a_pending_v2_request_is_answered_before_its_connection_ends(
+    #[case] input: &[u8],
+    #[case] error: &str,
+) {
+    let mut front = Front::start(V2, |limits| limits.request_read_timeout = IDLE_TIMEOUT);
+    front.client.write_all(&request(V2, 1)).expect("written");
+    front.client.write_all(input).expect("written");
+    let Ok(Message::Request { client, tag, .. }) = front.inbox.recv_timeout(TEST_TIMEOUT) else {
+        panic!("the request did not reach the core");
+    };
+    std::thread::sleep(2 * IDLE_TIMEOUT);
+    client.answer(tag, Answer::Served(Payload::Bytes(b"{}".to_vec())));
+    let mut received = String::new();
+    front
+        .client
+        .read_to_string(&mut received)
+        .expect("closed without a reset");
+    assert!(received.starts_with("HTTP/1.1 200"), "{received}");
+    assert!(received.contains(error), "{received}");
+}
