Fronts: an idle connection is closed in the same step as the check that it is idle

Cause: the reader found the connection idle and nothing unread, and left the shutdown to the writer's coroutine. Change: Outbox::close_idle looks for unread input and shuts down in one step, as eviction did; idle timeout and shutdown use it.

--- a/wrenseam/src/front/connection.rs
+++ b/wrenseam/src/front/connection.rs
@@ -3,7 +3,7 @@
 use super::kserve::HttpError;
 use super::{messages, ListenerContext};
 use crate::log::RateLimitedLine;
-use crate::model::{Client, ClientState};
+use crate::model::Client;
 use crate::net::{receive, ConnectionSlot, Outbox, ReadFairness, ReadOutcome, SlotGuard};
 use crate::ring::Ring;
 use may::net::TcpStream;
@@ -147,8 +147,7 @@
         self.filled_ring = self.ring.len() == self.ring.capacity();
         let is_quiet =
             received == ReadOutcome::NotReady && between_requests && self.ring.is_empty();
-        if shutting_down && is_quiet && self.is_idle() && !self.has_unread_input() {
-            self.close_gracefully();
+        if shutting_down && is_quiet && self.is_idle() && self.close_idle() == Flow::Ended {
             return Ok(Flow::Ended);
         }
         if self.is_closing() {
@@ -159,11 +158,10 @@
 
     /// Ends the connection if its idle timeout has passed.
     pub(super) fn check_idle_timeout(&self) -> Flow {
-        if !self.channel.slot.has_idle_timed_out(&self.context.limits) || self.has_unread_input() {
+        if !self.channel.slot.has_idle_timed_out(&self.context.limits) {
             return Flow::Open;
         }
-        self.close_gracefully();
-        Flow::Ended
+        self.close_idle()
     }
 
     /// Lets other connections run if this client sends at full speed; otherwise its reader would keep the scheduler's
@@ -190,12 +188,6 @@
         }
     }
 
-    /// Whether the client has sent something that is not read yet: a read may time out although input has arrived, while
-    /// other coroutines keep the scheduler's thread busy.
-    fn has_unread_input(&self) -> bool {
-        self.channel.out.client_probe().state() == ClientState::UnreadInput
-    }
-
     /// Whether the sending side closes the connection: what the client sends from now on could not be answered.
     fn is_closing(&self) -> bool {
         self.channel.out.is_closing() || self.channel.out.is_aborted()
@@ -207,13 +199,15 @@
         slot.is_idle() && !slot.is_client_behind()
     }
 
-    /// Half-closes the connection if a response may still be in flight, and it then lingers. Otherwise [`serve`] closes
-    /// it without a linger.
-    fn close_gracefully(&self) {
+    /// Closes the connection unless it has unread input. It lingers if a response may still be in flight.
+    fn close_idle(&self) -> Flow {
         let linger = self.context.limits.linger_timeout;
-        let is_in_flight =
-            self.channel.slot.finished_within(linger) || self.channel.out.has_undelivered();
-        self.channel.close_if(is_in_flight);
+        let has_answered = self.channel.slot.finished_within(linger);
+        if self.channel.out.close_idle(has_answered) {
+            Flow::Ended
+        } else {
+            Flow::Open
+        }
     }
 }
 
--- a/wrenseam/src/net/outbox.rs
+++ b/wrenseam/src/net/outbox.rs
@@ -179,6 +179,33 @@
         true
     }
 
+    /// Closes the connection, on which no request is open, unless it has unread input or unsent responses. With `linger`,
+    /// or if responses are not delivered yet, only the sending side is closed. Returns whether it is closed.
+    ///
+    /// The shutdown comes right after the check: the writer might run only after other coroutines, and a request that
+    /// arrived meanwhile would be closed on.
+    pub fn close_idle(&self, linger: bool) -> bool {
+        let Some(socket) = self.socket.upgrade() else {
+            return true;
+        };
+        let linger = linger || self.has_undelivered();
+        if self.unsent.any_on_connection() || self.has_unread_input() {
+            return false;
+        }
+        let direction = if linger {
+            Shutdown::Write
+        } else {
+            Shutdown::Both
+        };
+        let _ = socket.0.shutdown(direction); // fails if the connection has ended by itself
+        if linger {
+            self.close();
+        } else {
+            self.abort();
+        }
+        true
+    }
+
     /// Whether the client has sent something that is not read yet: a read may time out although input has arrived, while
     /// other coroutines keep the scheduler's thread busy.
     fn has_unread_input(&self) -> bool {
--- a/wrenseam/src/net/writer.rs
+++ b/wrenseam/src/net/writer.rs
@@ -57,6 +57,11 @@
         self.connection.load(Ordering::Relaxed)
     }
 
+    /// Whether this connection has unsent bytes. `Acquire`, as the caller acts on what the writer has done.
+    pub(super) fn any_on_connection(&self) -> bool {
+        self.connection.load(Ordering::Acquire) > 0
+    }
+
     pub(super) fn add(&self, bytes: usize) {
         self.connection.fetch_add(bytes, Ordering::Relaxed);
         self.process.fetch_add(bytes, Ordering::AcqRel);
--- a/wrenseam/tests/unread_responses.rs
+++ b/wrenseam/tests/unread_responses.rs
@@ -9,11 +9,13 @@
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver};
-use std::sync::Arc;
+use std::sync::{Arc, RwLock, RwLockReadGuard};
 use std::time::{Duration, Instant};
 use wrenseam::front::{fastcgi, kserve, ListenerContext, Serve};
 use wrenseam::limits::Limits;
+use wrenseam::memory_budget::MemoryBudget;
 use wrenseam::model::{Answer, Payload};
+use wrenseam::net::Outbox;
 use wrenseam::queue::{CoreHandle, Message};
 use Protocol::{Kserve as V2, Platform};
 
@@ -32,6 +34,9 @@
 /// No test takes longer.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Held by each test: one of them keeps the scheduler's only thread, which all share.
+static SCHEDULER_LOCK: RwLock<()> = RwLock::new(());
+
 /// Why the front end closes the connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Ending {
@@ -47,10 +52,12 @@
     client: TcpStream,
     context: ListenerContext,
     inbox: Receiver<Message>,
+    _scheduler: RwLockReadGuard<'static, ()>,
 }
 
 impl Front {
     fn start(protocol: Protocol, change: impl FnOnce(&mut Limits)) -> Front {
+        let _scheduler = SCHEDULER_LOCK.read().expect("not poisoned");
         may::config().set_workers(1).set_worker_pin(false); // as the program has it
         let mut limits = Limits::new(192, 1024, &wrenseam_policy::Settings::default());
         change(&mut limits);
@@ -74,6 +81,7 @@
             client: connect(address),
             context,
             inbox,
+            _scheduler,
         }
     }
 
@@ -340,3 +348,33 @@
     assert!(received.starts_with("HTTP/1.1 200"), "{received}");
     assert!(received.contains(error), "{received}");
 }
+
+/// Guards against a close that comes later than the check that nothing is unread: while other coroutines had their turn,
+/// a request arrived that was then closed on. Here the scheduler's only thread is kept from the check on.
+#[rstest]
+fn an_idle_connection_is_closed_with_the_check_that_it_is_idle(
+    #[values(true, false)] linger: bool,
+) {
+    let _scheduler = SCHEDULER_LOCK.write();
+    may::config().set_workers(1).set_worker_pin(false); // as the program has it
+    let limits = Arc::new(Limits::new(
+        192,
+        1024,
+        &wrenseam_policy::Settings::default(),
+    ));
+    let budget = MemoryBudget::new(limits.memory_budget_bytes);
+    let listener = may::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut client = connect(listener.local_addr().expect("bound"));
+    let (release, released) = channel::<()>();
+    wrenseam::net::spawn(64 * 1024, move || {
+        let (stream, _) = listener.accept().expect("a connection");
+        let out = Outbox::start(stream, &limits, &budget, &Arc::default()).expect("started");
+        assert!(out.close_idle(linger));
+        let _ = released.recv(); // blocks the thread, not only the coroutine
+    })
+    .expect("a coroutine");
+    client.set_read_timeout(Some(UNREAD_TIME)).expect("set");
+    let end = client.read(&mut [0; 8]);
+    drop(release);
+    assert_eq!(end.expect("closed"), 0);
+}
