Tests: one front in the test's own process, in place of three copies of it

closing.rs, leaving.rs and unread_responses.rs each started a front with one connection and read what it passes to the core; eviction.rs and two of them worded the same request. common/front.rs has both now. No check is changed.

--- a/wrenseam/tests/closing.rs
+++ b/wrenseam/tests/closing.rs
@@ -2,7 +2,8 @@
 mod common;
 
 use common::{
-    connect, fastcgi_record, fastcgi_request, read_fastcgi_answer, Harness, Protocol, FUNCTION,
+    connect, fastcgi_record, fastcgi_request, read_fastcgi_answer, request_bytes, Harness,
+    InProcessFront, Protocol, FUNCTION,
 };
 use socket2::SockRef;
 use std::io::{Read, Write};
@@ -10,10 +11,10 @@
 use std::sync::atomic::Ordering;
 use std::sync::{mpsc, Arc};
 use std::time::{Duration, Instant};
-use wrenseam::front::{close, fastcgi, Listener, ListenerContext};
+use wrenseam::front::{close, Listener, ListenerContext};
 use wrenseam::limits::Limits;
 use wrenseam::net::SlotGuard;
-use wrenseam::queue::{CoreHandle, Message};
+use wrenseam::queue::CoreHandle;
 
 /// FastCGI record type of a question for variables.
 const GET_VALUES: u8 = 9;
@@ -113,29 +114,21 @@
 /// so the slot, which stands for the connection's descriptors, is in use.
 #[test]
 fn a_connection_keeps_its_slot_until_its_writer_has_ended() {
-    may::config().set_workers(1).set_worker_pin(false); // as the program has it
-    let settings = wrenseam_policy::Settings::default();
-    let limits = Arc::new(Limits::new(192, 1024, &settings));
-    let (core, _inbox) = mpsc::channel();
-    let context = ListenerContext::new(CoreHandle::new(core), limits.clone(), Arc::default());
+    let InProcessFront {
+        mut client,
+        context,
+        inbox: _inbox,
+    } = InProcessFront::start(Protocol::Platform, |_| {});
     let (unsent, slots) = (
         context.unsent_bytes.clone(),
         context.process_state.client_connections.clone(),
     );
-    let listener = may::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let mut client = connect(listener.local_addr().expect("bound"));
     SockRef::from(&client)
         .set_recv_buffer_size(4_096)
         .expect("set");
     client
         .set_write_timeout(Some(Duration::from_secs(1)))
         .expect("set");
-    let guard = context.slots.acquire().expect("a slot");
-    wrenseam::net::spawn(limits.coroutine_stack_bytes, move || {
-        let (stream, _) = listener.accept().expect("a connection");
-        fastcgi::serve(stream, &context, guard);
-    })
-    .expect("a coroutine");
     // Each question is answered with some 57 KB, until the front end gives up the connection.
     let question = fastcgi_record(GET_VALUES, 0, &b"\x0e\0FCGI_MAX_CONNS".repeat(3_000));
     while client.write_all(&question).is_ok() {}
@@ -154,49 +147,23 @@
 /// A connection that drains must not take that for silence and close: the request would be lost.
 #[test]
 fn a_request_that_arrived_while_the_scheduler_was_busy_is_not_closed_on() {
-    may::config().set_workers(1).set_worker_pin(false); // as the program has it
-    let settings = wrenseam_policy::Settings::default();
-    let mut limits = Limits::new(192, 1024, &settings);
-    limits.client_check_interval = Duration::from_millis(50);
-    let limits = Arc::new(limits);
-    let (core, inbox) = mpsc::channel();
-    let context = ListenerContext::new(CoreHandle::new(core), limits.clone(), Arc::default());
-    let draining = context.process_state.draining.clone();
-    let listener = may::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let mut client = connect(listener.local_addr().expect("bound"));
-    let guard = context.slots.acquire().expect("a slot");
-    let request = fastcgi_request(
-        1,
-        &[
-            ("SCRIPT_NAME", "/v1/tile-render"),
-            ("HTTP_REQ_ID", "9b1f03aa5c7e2d41"),
-            ("HTTP_REQ_WAIT_MS", "1000"),
-            ("HTTP_REQ_OWNER", "acme"),
-            ("HTTP_REQ_KEY", FUNCTION),
-        ],
-        b"",
-    );
-    wrenseam::net::spawn(limits.coroutine_stack_bytes, move || {
-        let (stream, _) = listener.accept().expect("a connection");
-        fastcgi::serve(stream, &context, guard);
-    })
-    .expect("a coroutine");
+    let mut front = InProcessFront::start(Protocol::Platform, |limits| {
+        limits.client_check_interval = Duration::from_millis(50);
+    });
     let (busy, is_busy) = mpsc::channel();
-    wrenseam::net::spawn(limits.coroutine_stack_bytes, move || {
+    wrenseam::net::spawn(front.context.limits.coroutine_stack_bytes, move || {
         wrenseam::net::sleep(Duration::from_millis(20)); // the connection's reader waits for input by then
         busy.send(()).expect("the test receives");
         std::thread::sleep(Duration::from_millis(500)); // keeps the scheduler's only thread
     })
     .expect("a coroutine");
     is_busy.recv().expect("sent");
+    let draining = &front.context.process_state.draining;
     draining.store(true, Ordering::Release);
     std::thread::sleep(Duration::from_millis(200)); // the read times out
-    client.write_all(&request).expect("written");
-    assert!(
-        matches!(
-            inbox.recv_timeout(Duration::from_secs(5)),
-            Ok(Message::Request { .. })
-        ),
-        "the request did not reach the core"
-    );
+    front
+        .client
+        .write_all(&request_bytes(Protocol::Platform, 1, 1_000))
+        .expect("written");
+    front.next_request();
 }
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod discovery;
 mod fleet;
+mod front;
 mod harness;
 mod program;
 mod scenario;
@@ -15,6 +16,7 @@
 pub(crate) use {
     clients::http_get,
     fleet::Fleet,
+    front::{request_bytes, InProcessFront, PassedRequest},
     harness::Harness,
     program::{admin_command, POLICY_SETTINGS},
     support::{
--- a/wrenseam/tests/eviction.rs
+++ b/wrenseam/tests/eviction.rs
@@ -3,7 +3,7 @@
 //! answer, as the client would send it again and it would run twice.
 mod common;
 
-use common::{connect, fastcgi_request, read_fastcgi_answer, Harness, Protocol, FUNCTION};
+use common::{connect, read_fastcgi_answer, request_bytes, Harness, Protocol};
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -19,32 +19,6 @@
 /// The id of the request that arrives while a connection is being evicted.
 const LATE_REQUEST_ID: u16 = 0x100;
 
-/// The bytes of a request whose client waits `wait_ms` for the answer.
-fn request_bytes(front: Protocol, id: u16, wait_ms: u32) -> Vec<u8> {
-    let (wire, wait) = (format!("{id:016x}"), wait_ms.to_string());
-    match front {
-        Protocol::Platform => {
-            let params = [
-                ("SCRIPT_NAME", "/v1/tile-render"),
-                ("HTTP_REQ_ID", &wire[..]),
-                ("HTTP_REQ_OWNER", "acme"),
-                ("HTTP_REQ_WAIT_MS", &wait),
-                ("HTTP_REQ_KEY", FUNCTION),
-            ];
-            fastcgi_request(id, &params, b"x")
-        }
-        Protocol::Kserve => {
-            let body = format!(
-                r#"{{"id":"{wire}","parameters":{{"class":"tile-render","tenant":"acme","wait_ms":{wait}}},"inputs":[]}}"#
-            );
-            let length = body.len();
-            let path = format!("/v2/models/{FUNCTION}/infer");
-            format!("POST {path} HTTP/1.1\r\nHost: t\r\nContent-Length: {length}\r\n\r\n{body}")
-                .into_bytes()
-        }
-    }
-}
-
 /// Whether the connection delivers a response.
 fn receives_response(front: Protocol, stream: &mut TcpStream) -> bool {
     match front {
--- a/wrenseam/tests/leaving.rs
+++ b/wrenseam/tests/leaving.rs
@@ -3,26 +3,30 @@
 //! connection itself can notice it.
 mod common;
 
-use common::{connect, fastcgi_record, fastcgi_request, Harness, Protocol, FUNCTION};
+use common::{fastcgi_record, request_bytes, Harness, InProcessFront, Protocol};
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
 use std::sync::{mpsc, Arc, Mutex};
 use std::time::{Duration, Instant};
-use wrenseam::front::{fastcgi as fastcgi_front, kserve, ListenerContext, Serve};
 use wrenseam::limits::Limits;
 use wrenseam::model::{AttemptKey, Client, ClientState, Request};
 use wrenseam::queue::{CoreHandle, Message};
 use wrenseam::worker::dispatch::{Dispatch, StartResult};
 use wrenseam::worker::{frames::Frames, kserve::Kserve, AttemptLimits, Transport};
-use wrenseam_policy::{Outcome, Settings};
+use wrenseam_policy::Outcome;
 use Protocol::{Kserve as V2, Platform};
 
+/// The id of the request that each client sends.
+const REQUEST_ID: u16 = 0xaa;
+/// How long its client waits, in ms.
+const WAIT_MS: u32 = 20_000;
+
 /// Lets one test at a time block the scheduler's only thread, which all tests share.
 static SCHEDULER_LOCK: Mutex<()> = Mutex::new(());
 
-/// A front whose messages to the core come to the test, and a client that has sent one request.
+/// A front, and a client that has sent one request.
 struct Front {
     client: TcpStream,
     /// The request as the core would get it.
@@ -34,38 +38,18 @@
 
 impl Front {
     /// Starts a front for one connection and sends it a request.
-    fn new(front: Protocol) -> Front {
-        may::config().set_workers(1).set_worker_pin(false); // as in the program
-        let limits = Arc::new(Limits::new(192, 1024, &Settings::default()));
-        let (core, inbox) = mpsc::channel();
-        let context = ListenerContext::new(CoreHandle::new(core), limits.clone(), Arc::default());
-        let listener = may::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-        let mut client = connect(listener.local_addr().expect("bound"));
-        client.write_all(&request_bytes(front)).expect("written");
-        let serve: Serve = if front == Platform {
-            fastcgi_front::serve
-        } else {
-            kserve::serve
-        };
-        wrenseam::net::spawn(limits.coroutine_stack_bytes, move || {
-            let (stream, _) = listener.accept().expect("a connection");
-            let guard = context.slots.acquire().expect("a slot");
-            serve(stream, &context, guard);
-        })
-        .expect("a coroutine");
-        let Ok(Message::Request {
-            request,
-            client: _connection,
-            tag: _,
-        }) = inbox.recv_timeout(Duration::from_secs(20))
-        else {
-            panic!("the front sent no request to the core");
-        };
+    fn new(protocol: Protocol) -> Front {
+        let mut front = InProcessFront::start(protocol, |_| {});
+        front
+            .client
+            .write_all(&request_bytes(protocol, REQUEST_ID, WAIT_MS))
+            .expect("written");
+        let passed = front.next_request();
         Front {
-            client,
-            request: Arc::new(request),
-            _connection,
-            limits,
+            client: front.client,
+            request: Arc::new(passed.request),
+            _connection: passed.client,
+            limits: front.context.limits,
         }
     }
 
@@ -81,7 +65,7 @@
     fn leave(mut self, how: &str) -> Arc<Request> {
         let input = match how {
             "aborts" => fastcgi_record(2, 1, &[]),
-            "sends a request and closes" => request_bytes(V2),
+            "sends a request and closes" => request_bytes(V2, REQUEST_ID, WAIT_MS),
             _ => Vec::new(),
         };
         self.client.write_all(&input).expect("written");
@@ -108,25 +92,6 @@
     }
 }
 
-/// The bytes of a request whose client waits for 20 s.
-fn request_bytes(front: Protocol) -> Vec<u8> {
-    let params = [
-        ("SCRIPT_NAME", "/v1/tile-render"),
-        ("HTTP_REQ_ID", "00000000000000aa"),
-        ("HTTP_REQ_OWNER", "acme"),
-        ("HTTP_REQ_WAIT_MS", "20000"),
-        ("HTTP_REQ_KEY", FUNCTION),
-    ];
-    if front == Platform {
-        return fastcgi_request(1, &params, b"x");
-    }
-    let body =
-        r#"{"parameters":{"class":"tile-render","tenant":"acme","wait_ms":20000},"inputs":[]}"#;
-    let length = body.len();
-    format!("POST /v2/models/{FUNCTION}/infer HTTP/1.1\r\nHost: t\r\nContent-Length: {length}\r\n\r\n{body}")
-        .into_bytes()
-}
-
 /// Blocks the scheduler's only thread, and with it every connection's reader, until the sender is dropped.
 struct BlockedScheduler(mpsc::Sender<()>);
 
--- a/wrenseam/tests/unread_responses.rs
+++ b/wrenseam/tests/unread_responses.rs
@@ -2,21 +2,23 @@
 //! but a client that reads slowly does not have them yet, and goes on sending requests. A reset would destroy them.
 mod common;
 
-use common::{connect, fastcgi_record, fastcgi_request, read_fastcgi_answer, Protocol, FUNCTION};
+use common::{
+    connect, fastcgi_record, read_fastcgi_answer, request_bytes, InProcessFront, PassedRequest,
+    Protocol, FUNCTION,
+};
 use rstest::rstest;
 use socket2::SockRef;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::{channel, Receiver};
+use std::sync::mpsc::channel;
 use std::sync::{Arc, RwLock, RwLockReadGuard};
 use std::time::{Duration, Instant};
-use wrenseam::front::{fastcgi, kserve, ListenerContext, Serve};
 use wrenseam::limits::Limits;
 use wrenseam::memory_budget::MemoryBudget;
 use wrenseam::model::{Answer, Payload};
 use wrenseam::net::Outbox;
-use wrenseam::queue::{CoreHandle, Message};
+use wrenseam::queue::Message;
 use Protocol::{Kserve as V2, Platform};
 
 /// FastCGI record type of a question for variables.
@@ -31,6 +33,8 @@
 const UNREAD_TIME: Duration = Duration::from_millis(1_200);
 /// Pause after each read of a slow client.
 const READ_PAUSE: Duration = Duration::from_millis(5);
+/// How long the clients of requests wait, in ms.
+const WAIT_MS: u32 = 20_000;
 /// No test takes longer.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -47,55 +51,24 @@
     InvalidInput,
 }
 
-/// A front with one connection.
-struct Front {
-    client: TcpStream,
-    context: ListenerContext,
-    inbox: Receiver<Message>,
-    _scheduler: RwLockReadGuard<'static, ()>,
+/// Starts a front. No test keeps the scheduler's thread while the guard is held.
+fn start(
+    protocol: Protocol,
+    change: impl FnOnce(&mut Limits),
+) -> (RwLockReadGuard<'static, ()>, InProcessFront) {
+    let guard = SCHEDULER_LOCK.read().expect("not poisoned");
+    (guard, InProcessFront::start(protocol, change))
 }
 
-impl Front {
-    fn start(protocol: Protocol, change: impl FnOnce(&mut Limits)) -> Front {
-        let _scheduler = SCHEDULER_LOCK.read().expect("not poisoned");
-        may::config().set_workers(1).set_worker_pin(false); // as the program has it
-        let mut limits = Limits::new(192, 1024, &wrenseam_policy::Settings::default());
-        change(&mut limits);
-        let (core, inbox) = channel();
-        let context = ListenerContext::new(CoreHandle::new(core), Arc::new(limits), Arc::default());
-        let listener = may::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("bound");
-        let serve: Serve = if protocol == Platform {
-            fastcgi::serve
-        } else {
-            kserve::serve
-        };
-        let connection_context = context.clone();
-        wrenseam::net::spawn(context.limits.coroutine_stack_bytes, move || {
-            let (stream, _) = listener.accept().expect("a connection");
-            let guard = connection_context.slots.acquire().expect("a slot");
-            serve(stream, &connection_context, guard);
-        })
-        .expect("a coroutine");
-        Front {
-            client: connect(address),
-            context,
-            inbox,
-            _scheduler,
-        }
-    }
-
-    /// Sends questions that the front answers itself, and waits until the responses are in the system's buffers.
-    fn ask(&mut self, questions: &[u8]) {
-        self.client.write_all(questions).expect("written");
-        let since = Instant::now();
-        let mut answered = false;
-        while !answered || self.context.unsent_bytes.load(Ordering::Acquire) > 0 {
-            assert!(since.elapsed() < TEST_TIMEOUT, "not written");
-            let mut first = [0];
-            answered = self.client.peek(&mut first).is_ok_and(|count| count > 0);
-            std::thread::sleep(READ_PAUSE);
-        }
+/// Sends questions that the front answers itself, and waits until the responses are in the system's buffers.
+fn ask(front: &mut InProcessFront, questions: &[u8]) {
+    front.client.write_all(questions).expect("written");
+    let since = Instant::now();
+    let mut answered = false;
+    while !answered || front.context.unsent_bytes.load(Ordering::Acquire) > 0 {
+        assert!(since.elapsed() < TEST_TIMEOUT, "not written");
+        answered = front.client.peek(&mut [0]).is_ok_and(|count| count > 0);
+        std::thread::sleep(READ_PAUSE);
     }
 }
 
@@ -115,26 +88,6 @@
     question(protocol).repeat(count)
 }
 
-/// A request that the front passes to the core.
-fn request(protocol: Protocol, id: u16) -> Vec<u8> {
-    if protocol == Platform {
-        let wire_id = format!("{id:016x}");
-        let params = [
-            ("SCRIPT_NAME", "/v1/tile-render"),
-            ("HTTP_REQ_ID", &wire_id[..]),
-            ("HTTP_REQ_OWNER", "acme"),
-            ("HTTP_REQ_WAIT_MS", "20000"),
-            ("HTTP_REQ_KEY", FUNCTION),
-        ];
-        return fastcgi_request(id, &params, b"x");
-    }
-    let body =
-        r#"{"parameters":{"class":"tile-render","tenant":"acme","wait_ms":20000},"inputs":[]}"#;
-    let length = body.len();
-    format!("POST /v2/models/{FUNCTION}/infer HTTP/1.1\r\nHost: t\r\nContent-Length: {length}\r\n\r\n{body}")
-        .into_bytes()
-}
-
 /// Reads slowly until the connection ends. Returns the number of bytes.
 fn read_slowly(client: &mut TcpStream) -> std::io::Result<usize> {
     let mut total = 0;
@@ -149,7 +102,7 @@
 
 /// The number of bytes with which a front answers these questions.
 fn response_bytes(protocol: Protocol, questions: &[u8]) -> usize {
-    let mut front = Front::start(protocol, |_| {});
+    let (_scheduler, mut front) = start(protocol, |_| {});
     let mut sender = front.client.try_clone().expect("cloned");
     let questions = questions.to_vec();
     let sending = std::thread::spawn(move || {
@@ -179,12 +132,12 @@
 ) {
     let questions = questions(protocol);
     let expected = response_bytes(protocol, &questions);
-    let mut front = Front::start(protocol, |limits| {
+    let (_scheduler, mut front) = start(protocol, |limits| {
         if ending == Ending::IdleTimeout {
             limits.first_request_timeout = IDLE_TIMEOUT;
         }
     });
-    front.ask(&questions);
+    ask(&mut front, &questions);
     let context = front.context.clone();
     let has_ended = Arc::new(AtomicBool::new(false));
     match ending {
@@ -225,7 +178,7 @@
 #[test]
 fn responses_queued_before_too_many_waited_reach_a_slow_client() {
     let max_unsent = 128 * 1024;
-    let mut front = Front::start(Platform, |limits| limits.max_unsent_bytes = max_unsent);
+    let (_scheduler, mut front) = start(Platform, |limits| limits.max_unsent_bytes = max_unsent);
     let mut sender = front.client.try_clone().expect("cloned");
     let endless = question(Platform);
     std::thread::spawn(move || while sender.write_all(&endless).is_ok() {});
@@ -252,14 +205,14 @@
 /// A client that takes nothing does not keep its connection: the front end closes it, and frees its slot.
 #[rstest]
 fn a_client_that_reads_nothing_is_not_waited_for(#[values(Platform, V2)] protocol: Protocol) {
-    let mut front = Front::start(protocol, |limits| {
+    let (_scheduler, mut front) = start(protocol, |limits| {
         limits.first_request_timeout = IDLE_TIMEOUT;
         limits.write_stall_timeout = IDLE_TIMEOUT;
     });
     SockRef::from(&front.client)
         .set_recv_buffer_size(4_096)
         .expect("set");
-    front.ask(&questions(protocol));
+    ask(&mut front, &questions(protocol));
     let since = Instant::now();
     let connections = &front.context.process_state.client_connections;
     while connections.load(Ordering::Acquire) > 0 {
@@ -273,29 +226,25 @@
 #[rstest]
 fn a_drain_ends_on_a_connection_in_use(#[values(Platform, V2)] protocol: Protocol) {
     let serve_time = Duration::from_millis(200);
-    let mut front = Front::start(protocol, |limits| limits.drain_serve_time = serve_time);
-    let next_request = |front: &Front| match front.inbox.recv_timeout(TEST_TIMEOUT) {
-        Ok(Message::Request { client, tag, .. }) => (client, tag),
-        _ => panic!("the request did not reach the core"),
-    };
+    let (_scheduler, mut front) = start(protocol, |limits| limits.drain_serve_time = serve_time);
     let served = || Answer::Served(Payload::Bytes(b"DONE".to_vec()));
     front
         .client
-        .write_all(&request(protocol, 1))
+        .write_all(&request_bytes(protocol, 1, WAIT_MS))
         .expect("written");
-    let (client, tag) = next_request(&front);
+    let PassedRequest { client, tag, .. } = front.next_request();
     assert!(front.context.process_state.start_drain());
     // Another request arrives before the first is answered: served, as the drain has only begun.
     front
         .client
-        .write_all(&request(protocol, 2))
+        .write_all(&request_bytes(protocol, 2, WAIT_MS))
         .expect("written");
-    let (_, second_tag) = next_request(&front);
+    let second_tag = front.next_request().tag;
     client.answer(tag, served());
     std::thread::sleep(2 * serve_time);
     front
         .client
-        .write_all(&request(protocol, 3))
+        .write_all(&request_bytes(protocol, 3, WAIT_MS))
         .expect("written");
     if protocol == Platform {
         let head = |client: &mut TcpStream| read_fastcgi_answer(client).expect("an answer").head;
@@ -332,12 +281,13 @@
     #[case] input: &[u8],
     #[case] error: &str,
 ) {
-    let mut front = Front::start(V2, |limits| limits.request_read_timeout = IDLE_TIMEOUT);
-    front.client.write_all(&request(V2, 1)).expect("written");
+    let (_scheduler, mut front) = start(V2, |limits| limits.request_read_timeout = IDLE_TIMEOUT);
+    front
+        .client
+        .write_all(&request_bytes(V2, 1, WAIT_MS))
+        .expect("written");
     front.client.write_all(input).expect("written");
-    let Ok(Message::Request { client, tag, .. }) = front.inbox.recv_timeout(TEST_TIMEOUT) else {
-        panic!("the request did not reach the core");
-    };
+    let PassedRequest { client, tag, .. } = front.next_request();
     std::thread::sleep(2 * IDLE_TIMEOUT);
     client.answer(tag, Answer::Served(Payload::Bytes(b"{}".to_vec())));
     let mut received = String::new();
