FastCGI: a request that was answered early leaves its id and its connection free

Cause: check_read_timeouts and extend kept the answered request in partial_requests, marked as rejected, until its last record came; begin took its id for open (DuplicateRequestId). Two faults of the same kind beside it: discarded bytes were added up over the connection's life (64 KiB, the fifth rejected request of 16,000 bytes ended it); and one overdue request closed the connection under others that were still arriving, if none was in the core. Change: a rejected request is removed at once, what still comes of it is discarded as for any unknown id; discarded bytes count from the last BEGIN_REQUEST; an overdue request closes the connection only if that has no other request. Its id of an open request used twice still ends the connection. Ruled out: bad clients gain nothing: 64 KiB without a new request still end the connection, and each new request has its answer; partial requests stay limited to 32 by the same count.

--- a/wrenseam/src/front/fastcgi/connection.rs
+++ b/wrenseam/src/front/fastcgi/connection.rs
@@ -38,11 +38,12 @@
     pub(super) client: Arc<FastCgiClient>,
     /// The memory budget of this connection's requests.
     budget: MemoryBudget,
-    /// Requests that are not completely received yet, by FastCGI request id.
+    /// Requests that are neither completely received nor answered yet, by FastCGI request id.
     partial_requests: HashMap<u16, PartialRequest>,
     /// The number of requests that have been passed to the core.
     pub(super) submitted: u64,
-    /// Bytes that have been discarded: records of rejected requests, and records of types that are not used.
+    /// Bytes that have been discarded since the last request began: records of answered requests, and records of types
+    /// that are not used.
     discarded: usize,
 }
 
@@ -87,43 +88,39 @@
         self.partial_requests.is_empty() && records.is_between_records()
     }
 
-    /// Rejects requests that were not completely received in time. If no request of the connection is pending in the
-    /// core, the connection is closed instead. A request that is never completed would otherwise hold memory forever,
-    /// and its client would get neither a response nor a close.
+    /// Rejects requests that were not completely received in time. If the connection has no other request, it is closed
+    /// instead. A request that is never completed would otherwise hold memory forever, and its client would get neither a
+    /// response nor a close.
     fn check_read_timeouts(&mut self, records: &RecordDecoder) -> Result<(), ConnectionError> {
         let limit = self.context.limits.request_read_timeout;
-        if records.is_overdue(limit) && self.client.channel.slot.is_idle() {
+        let is_slot_idle = self.client.channel.slot.is_idle();
+        if records.is_overdue(limit) && is_slot_idle {
             return Err(FastCgiError::RecordTimeout.into());
         }
-        let any_overdue = self
-            .partial_requests
-            .values()
-            .any(|partial| partial.is_overdue(limit));
-        if any_overdue && self.client.channel.slot.is_idle() {
-            return Err(ConnectionError::RequestTimeout);
-        }
-        let overdue = |partial: &PartialRequest| partial.is_accepted() && partial.is_overdue(limit);
-        let request_ids: Vec<u16> = self
+        let is_overdue = |(_, partial): &(&u16, &PartialRequest)| partial.is_overdue(limit);
+        let overdue: Vec<u16> = self
             .partial_requests
             .iter()
-            .filter(|(_, partial)| overdue(partial))
+            .filter(is_overdue)
             .map(|(&request_id, _)| request_id)
             .collect();
-        for request_id in request_ids {
+        let has_others = overdue.len() < self.partial_requests.len() || !is_slot_idle;
+        if !overdue.is_empty() && !has_others {
+            return Err(ConnectionError::RequestTimeout);
+        }
+        for request_id in overdue {
             self.reject_partial(request_id, ParameterError::ReadTimeout.into());
         }
         Ok(())
     }
 
     /// Rejects a request that is not completely received, without waiting for the rest of it: a client that sends
-    /// without end would otherwise get no response.
+    /// without end would otherwise get no response. Its id is free for another request from then on, and what still
+    /// arrives of it is discarded.
     fn reject_partial(&mut self, request_id: u16, rejection: Rejection) {
-        let Some(partial) = self.partial_requests.get_mut(&request_id) else {
-            return;
-        };
-        partial.reject();
-        let close = partial.close;
-        self.reject(request_id, rejection, close);
+        if let Some(partial) = self.partial_requests.remove(&request_id) {
+            self.reject(request_id, rejection, partial.close);
+        }
     }
 
     /// Logs that a request is rejected and sends the response. With `close`, the connection closes after it.
@@ -188,6 +185,7 @@
 
     fn begin(&mut self, request_id: u16, content: &[u8]) -> Result<(), ConnectionError> {
         let begin = BeginRequest::parse(content)?;
+        self.discarded = 0;
         let open_requests = self.client.open_requests.lock();
         let open_requests = open_requests.map_err(|_| ConnectionError::Poisoned)?;
         let open_count = open_requests.len() + self.partial_requests.len();
@@ -237,13 +235,6 @@
         }
     }
 
-    /// The partly received request with this id; `None` if there is none or it has been rejected.
-    fn accepted_partial(&mut self, request_id: u16) -> Option<&mut PartialRequest> {
-        self.partial_requests
-            .get_mut(&request_id)
-            .filter(|partial| partial.is_accepted())
-    }
-
     /// Appends a record's content to a stream of a partly received request with `append`, or discards it.
     fn extend(
         &mut self,
@@ -252,7 +243,7 @@
         append: fn(&mut PartialRequest, &[u8], &Limits) -> Result<(), Rejection>,
     ) -> Result<(), ConnectionError> {
         let limits = &self.context.limits;
-        let Some(partial) = self.accepted_partial(request_id) else {
+        let Some(partial) = self.partial_requests.get_mut(&request_id) else {
             return self.discard(content.len());
         };
         if let Err(rejection) = append(partial, content, limits) {
@@ -264,8 +255,8 @@
     /// Handles the empty STDIN record, which ends the body and with it the request.
     fn finish_body(&mut self, request_id: u16) -> Result<(), ConnectionError> {
         match self.partial_requests.remove(&request_id) {
-            Some(partial) if partial.is_accepted() => self.complete(request_id, partial),
-            _ => Ok(()),
+            Some(partial) => self.complete(request_id, partial),
+            None => Ok(()),
         }
     }
 }
--- a/wrenseam/src/front/fastcgi/partial.rs
+++ b/wrenseam/src/front/fastcgi/partial.rs
@@ -51,10 +51,8 @@
     pub(super) params: Vec<u8>,
     pub(super) body: Vec<u8>,
     /// Its part of the memory budget, reserved as records arrive, because requests that are never completed take memory
-    /// too. `None` once it is rejected, or if the budget was exceeded when it began.
+    /// too. `None` if the budget was exceeded when it began.
     pub(super) reserved_bytes: Option<MemoryReservation>,
-    /// Whether it has been rejected, so that the rest of it is discarded.
-    is_rejected: bool,
 }
 
 impl PartialRequest {
@@ -65,28 +63,14 @@
             params: Vec::new(),
             body: Vec::new(),
             reserved_bytes,
-            is_rejected: false,
         }
     }
 
-    /// Whether it has not been rejected, so that its records are still stored.
-    pub(super) fn is_accepted(&self) -> bool {
-        !self.is_rejected
-    }
-
     /// Whether it began longer than `limit` ago.
     pub(super) fn is_overdue(&self, limit: Duration) -> bool {
         self.started_at.elapsed() > limit
     }
 
-    /// Marks it as rejected and releases its memory. Records of it that arrive later are discarded.
-    pub(super) fn reject(&mut self) {
-        self.is_rejected = true;
-        self.params = Vec::new();
-        self.body = Vec::new();
-        self.reserved_bytes = None;
-    }
-
     /// Appends to the parameter stream.
     pub(super) fn extend_params(
         &mut self,
--- /dev/null
+++ b/wrenseam/tests/rejected_requests.rs
@@ -0,0 +1,123 @@
+//! FastCGI requests that are answered before they are whole, on connections with other requests: these must get their
+//! answers, whatever becomes of the rejected one.
+mod common;
+
+use common::{
+    fastcgi_record, read_fastcgi_answer, request_bytes, InProcessFront, PassedRequest, Protocol,
+};
+use rstest::rstest;
+use std::io::Write;
+use std::time::Duration;
+use wrenseam::limits::Limits;
+use wrenseam::model::{Answer, Payload};
+
+// FastCGI record types.
+const PARAMS: u8 = 4;
+const STDIN: u8 = 5;
+
+/// Bytes of a BEGIN_REQUEST record.
+const BEGIN_BYTES: usize = 16;
+/// Bytes of the empty record that ends a request.
+const END_BYTES: usize = 8;
+/// How long the clients wait, in ms.
+const WAIT_MS: u32 = 20_000;
+/// Time in which a request must be complete in the tests.
+const READ_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Why a request is answered before it is whole.
+#[derive(Clone, Copy, Debug)]
+enum Early {
+    ReadTimeout,
+    ParametersTooLong,
+    BodyTooLong,
+}
+
+fn change_limits(limits: &mut Limits) {
+    limits.request_read_timeout = READ_TIMEOUT;
+    limits.client_check_interval = READ_TIMEOUT / 10;
+}
+
+fn whole(id: u16) -> Vec<u8> {
+    request_bytes(Protocol::Platform, id, WAIT_MS)
+}
+
+/// The first part of a request, after which it is answered early.
+fn part(id: u16, early: Early) -> Vec<u8> {
+    let bytes = whole(id);
+    let begun = &bytes[..bytes.len() - END_BYTES];
+    match early {
+        Early::ReadTimeout => begun.to_vec(),
+        Early::ParametersTooLong => [
+            &bytes[..BEGIN_BYTES],
+            &fastcgi_record(PARAMS, id, &[0; 17_000]),
+        ]
+        .concat(),
+        Early::BodyTooLong => [begun, &fastcgi_record(STDIN, id, &[0; 17_000])].concat(),
+    }
+}
+
+fn send(front: &mut InProcessFront, bytes: &[u8]) {
+    front.client.write_all(bytes).expect("written");
+}
+
+fn read_status(front: &mut InProcessFront) -> String {
+    let head = read_fastcgi_answer(&mut front.client)
+        .expect("an answer")
+        .head;
+    head.lines().next().unwrap_or_default().to_owned()
+}
+
+fn serve(request: &PassedRequest) {
+    let answer = Answer::Served(Payload::Bytes(b"DONE".to_vec()));
+    request.client.answer(request.tag, answer);
+}
+
+/// Guards against a connection that ends, with the requests of others on it, because the id of a request that was
+/// answered early is used for the next one, as FastCGI allows.
+#[rstest]
+fn the_id_of_a_request_that_was_answered_early_is_free(
+    #[values(Early::ReadTimeout, Early::ParametersTooLong, Early::BodyTooLong)] early: Early,
+) {
+    let mut front = InProcessFront::start(Protocol::Platform, change_limits);
+    send(&mut front, &whole(1));
+    let other = front.next_request();
+    send(&mut front, &part(2, early));
+    assert_eq!(read_status(&mut front), "Status: 400 Bad Request");
+    send(&mut front, &whole(2));
+    let next = front.next_request();
+    serve(&other);
+    assert_eq!(read_status(&mut front), "Status: 200 OK");
+    serve(&next);
+    assert_eq!(read_status(&mut front), "Status: 200 OK");
+}
+
+/// Guards against a connection that ends because what was discarded of many rejected requests is added up.
+#[test]
+fn the_rest_of_rejected_requests_ends_no_connection() {
+    let mut front = InProcessFront::start(Protocol::Platform, change_limits);
+    send(&mut front, &whole(1));
+    let other = front.next_request();
+    for id in 2..10 {
+        send(&mut front, &part(id, Early::BodyTooLong));
+        assert_eq!(read_status(&mut front), "Status: 400 Bad Request");
+        send(&mut front, &fastcgi_record(STDIN, id, &[0; 16_000]));
+        send(&mut front, &fastcgi_record(STDIN, id, &[]));
+    }
+    serve(&other);
+    assert_eq!(read_status(&mut front), "Status: 200 OK");
+}
+
+/// Guards against a connection that ends, with a request that is still arriving, because another one on it is overdue.
+#[test]
+fn a_request_that_arrives_outlives_one_that_is_overdue() {
+    let mut front = InProcessFront::start(Protocol::Platform, change_limits);
+    send(&mut front, &part(1, Early::ReadTimeout));
+    std::thread::sleep(READ_TIMEOUT / 2);
+    let second = whole(2);
+    let (begun, end) = second.split_at(second.len() - END_BYTES);
+    send(&mut front, begun);
+    assert_eq!(read_status(&mut front), "Status: 400 Bad Request");
+    send(&mut front, end);
+    serve(&front.next_request());
+    assert_eq!(read_status(&mut front), "Status: 200 OK");
+}
