FastCGI: what a record takes while it is received is in the memory budget

Cause: RecordDecoder held the record that it was receiving, up to 64 KiB, in a buffer that was kept for the next one and counted nowhere; the limit of 16 KiB on parameters and body was asked once the record was whole. Change: the decoder (fastcgi/decoder.rs, its own file) asks once a header is there. A part of a request that is too long is answered with 400 then, and discarded as it comes; what is stored is reserved in the budget first, else the request is refused as overloaded; records that have no use are discarded as they come. A connection's part of the budget grows by one record. Ruled out: the other memory of a connection (some 45 KB: two stacks, rings) is as before, which is in no budget either; 336 connections of it are within 32 MB.

--- a/wrenseam/src/front/fastcgi/connection.rs
+++ b/wrenseam/src/front/fastcgi/connection.rs
@@ -1,15 +1,15 @@
 //! Serves one FastCGI connection: reads its records and assembles requests from them.
 use super::answers::{request_tag, status_response, FastCgiClient};
+use super::decoder::{Admission, Decoded, RecordDecoder, RecordHeader};
 use super::partial::{EarlyRejection, PartialRequest, Rejection};
 use super::records::{
     decode_pairs, end_request, get_values_result, unknown_type, BeginRequest, FastCgiError, Record,
-    RecordDecoder, ABORT_REQUEST, BEGIN_REQUEST, GET_VALUES, PARAMS, STDIN,
+    ABORT_REQUEST, BEGIN_REQUEST, GET_VALUES, PARAMS, STDIN,
 };
 use crate::front::connection::{
     self, ConnectionError, ConnectionLog, ConnectionReader, Flow, Protocol,
 };
 use crate::front::{messages, ListenerContext, ParameterError};
-use crate::limits::Limits;
 use crate::memory_budget::MemoryBudget;
 use crate::net::SlotGuard;
 use may::net::TcpStream;
@@ -69,8 +69,11 @@
             if reader.receive(self.is_between_requests(&records))? == Flow::Ended {
                 return Ok(());
             }
-            while let Some(record) = records.next(&mut reader.ring)? {
-                self.handle(&record)?;
+            while let Some(decoded) = records.next(&mut reader.ring, |header| self.admit(header))? {
+                match decoded {
+                    Decoded::Record(record) => self.handle(&record)?,
+                    Decoded::Discarded(bytes) => self.discard(bytes)?,
+                }
             }
             if checked_at.elapsed() >= check_interval {
                 checked_at = Instant::now();
@@ -146,22 +149,75 @@
         Ok(())
     }
 
+    /// Decides what becomes of a record before its content is received, and handles it if its content does not matter.
+    fn admit(&mut self, header: RecordHeader) -> Result<Admission, ConnectionError> {
+        let request_id = header.request_id;
+        let is_stored = match (header.record_type, request_id) {
+            (GET_VALUES, 0) => true,
+            (record_type, 0) => {
+                self.client.channel.out.send(unknown_type(record_type));
+                false
+            }
+            (BEGIN_REQUEST, _) => {
+                self.check_unused(request_id)?;
+                true
+            }
+            (ABORT_REQUEST, _) => {
+                self.abort(request_id);
+                false
+            }
+            (PARAMS | STDIN, _) => self.admit_part(header),
+            // DATA records are for the Filter role; the other types have no meaning for a Responder.
+            _ => false,
+        };
+        if !is_stored {
+            return Ok(Admission::Discard);
+        }
+        Ok(match self.budget.reserve(header.content_length) {
+            Some(reserved) => Admission::Store(reserved),
+            None => self.reject_record(header),
+        })
+    }
+
+    /// Whether a part of a request is stored. A part that is too long is rejected, with its request, before it comes.
+    fn admit_part(&mut self, header: RecordHeader) -> bool {
+        let limits = &self.context.limits;
+        let Some(partial) = self.partial_requests.get(&header.request_id) else {
+            return false;
+        };
+        let check = match header.record_type {
+            PARAMS => partial.check_params(header.content_length, limits),
+            _ => partial.check_body(header.content_length, limits),
+        };
+        if let Err(rejection) = check {
+            self.reject_partial(header.request_id, rejection);
+            return false;
+        }
+        true
+    }
+
+    /// Rejects the request of a record for which there is no memory.
+    fn reject_record(&mut self, header: RecordHeader) -> Admission {
+        let rejection = EarlyRejection::MemoryLimit;
+        match header.record_type {
+            BEGIN_REQUEST => self.reject_early(header.request_id, rejection),
+            _ => self.reject_partial(header.request_id, rejection.into()),
+        }
+        Admission::Discard
+    }
+
     fn handle(&mut self, record: &Record) -> Result<(), ConnectionError> {
         let Record {
             record_type,
             request_id,
             content,
         } = *record;
-        match (record_type, request_id) {
-            (GET_VALUES, 0) => self.report_values(content),
-            (_, 0) => self.client.channel.out.send(unknown_type(record_type)),
-            (BEGIN_REQUEST, _) => return self.begin(request_id, content),
-            (ABORT_REQUEST, _) => self.abort(request_id),
-            (PARAMS, _) => return self.extend(request_id, content, PartialRequest::extend_params),
-            (STDIN, _) if content.is_empty() => return self.finish_body(request_id),
-            (STDIN, _) => return self.extend(request_id, content, PartialRequest::extend_body),
-            // DATA records are for the Filter role; the other types have no meaning for a Responder.
-            _ => return self.discard(content.len()),
+        match record_type {
+            BEGIN_REQUEST => return self.begin(request_id, content),
+            PARAMS => self.extend(request_id, content, PartialRequest::extend_params),
+            STDIN if content.is_empty() => return self.finish_body(request_id),
+            STDIN => self.extend(request_id, content, PartialRequest::extend_body),
+            _ => self.report_values(content), // no other record is stored
         }
         Ok(())
     }
@@ -183,18 +239,25 @@
         self.client.channel.out.send(get_values_result(&values));
     }
 
+    /// Fails if the id is that of a request which is not answered yet.
+    fn check_unused(&self, request_id: u16) -> Result<(), ConnectionError> {
+        let open_requests = self.client.open_requests.lock();
+        let open_requests = open_requests.map_err(|_| ConnectionError::Poisoned)?;
+        if open_requests.contains_key(&request_id)
+            || self.partial_requests.contains_key(&request_id)
+        {
+            return Err(FastCgiError::DuplicateRequestId(request_id).into());
+        }
+        Ok(())
+    }
+
     fn begin(&mut self, request_id: u16, content: &[u8]) -> Result<(), ConnectionError> {
         let begin = BeginRequest::parse(content)?;
         self.discarded = 0;
         let open_requests = self.client.open_requests.lock();
         let open_requests = open_requests.map_err(|_| ConnectionError::Poisoned)?;
         let open_count = open_requests.len() + self.partial_requests.len();
-        let is_open = open_requests.contains_key(&request_id)
-            || self.partial_requests.contains_key(&request_id);
         drop(open_requests);
-        if is_open {
-            return Err(FastCgiError::DuplicateRequestId(request_id).into());
-        }
         let request_limit = self.context.limits.max_requests_per_connection;
         if !begin.is_responder() {
             self.reject_early(request_id, EarlyRejection::UnknownRole);
@@ -235,21 +298,20 @@
         }
     }
 
-    /// Appends a record's content to a stream of a partly received request with `append`, or discards it.
+    /// Appends a record's content to a stream of a partly received request with `append`.
     fn extend(
         &mut self,
         request_id: u16,
         content: &[u8],
-        append: fn(&mut PartialRequest, &[u8], &Limits) -> Result<(), Rejection>,
-    ) -> Result<(), ConnectionError> {
-        let limits = &self.context.limits;
-        let Some(partial) = self.partial_requests.get_mut(&request_id) else {
-            return self.discard(content.len());
-        };
-        if let Err(rejection) = append(partial, content, limits) {
+        append: fn(&mut PartialRequest, &[u8]) -> Result<(), Rejection>,
+    ) {
+        let appended = self
+            .partial_requests
+            .get_mut(&request_id)
+            .map_or(Ok(()), |partial| append(partial, content));
+        if let Err(rejection) = appended {
             self.reject_partial(request_id, rejection);
         }
-        Ok(())
     }
 
     /// Handles the empty STDIN record, which ends the body and with it the request.
--- a/wrenseam/src/front/fastcgi/mod.rs
+++ b/wrenseam/src/front/fastcgi/mod.rs
@@ -2,6 +2,7 @@
 //! connection.
 mod answers;
 mod connection;
+mod decoder;
 mod dispatch;
 mod partial;
 mod records;
--- a/wrenseam/src/front/fastcgi/partial.rs
+++ b/wrenseam/src/front/fastcgi/partial.rs
@@ -71,25 +71,31 @@
         self.started_at.elapsed() > limit
     }
 
-    /// Appends to the parameter stream.
-    pub(super) fn extend_params(
-        &mut self,
-        content: &[u8],
-        limits: &Limits,
-    ) -> Result<(), Rejection> {
-        if self.params.len() + content.len() > limits.max_head_bytes {
+    /// Whether a record with this many bytes of the parameter stream may follow.
+    pub(super) fn check_params(&self, bytes: usize, limits: &Limits) -> Result<(), Rejection> {
+        if self.params.len() + bytes > limits.max_head_bytes {
             return Err(ParameterError::ParametersTooLong(limits.max_head_bytes).into());
         }
+        Ok(())
+    }
+
+    /// Whether a record with this many bytes of the body may follow.
+    pub(super) fn check_body(&self, bytes: usize, limits: &Limits) -> Result<(), Rejection> {
+        if self.body.len() + bytes > limits.max_body_bytes {
+            return Err(ParameterError::BodyTooLong(limits.max_body_bytes).into());
+        }
+        Ok(())
+    }
+
+    /// Appends to the parameter stream.
+    pub(super) fn extend_params(&mut self, content: &[u8]) -> Result<(), Rejection> {
         self.reserve(content.len())?;
         self.params.extend(content);
         Ok(())
     }
 
     /// Appends to the body.
-    pub(super) fn extend_body(&mut self, content: &[u8], limits: &Limits) -> Result<(), Rejection> {
-        if self.body.len() + content.len() > limits.max_body_bytes {
-            return Err(ParameterError::BodyTooLong(limits.max_body_bytes).into());
-        }
+    pub(super) fn extend_body(&mut self, content: &[u8]) -> Result<(), Rejection> {
         self.reserve(content.len())?;
         self.body.extend(content);
         Ok(())
--- a/wrenseam/src/front/fastcgi/records.rs
+++ b/wrenseam/src/front/fastcgi/records.rs
@@ -1,6 +1,4 @@
-//! Encoding and decoding of FastCGI 1.0 records, without I/O.
-use crate::ring::Ring;
-use std::time::{Duration, Instant};
+//! The records of FastCGI 1.0 and their content, without I/O.
 
 pub(super) const BEGIN_REQUEST: u8 = 1;
 pub(super) const ABORT_REQUEST: u8 = 2;
@@ -13,9 +11,9 @@
 const UNKNOWN_TYPE: u8 = 11;
 
 /// The only protocol version.
-const VERSION: u8 = 1;
+pub(super) const VERSION: u8 = 1;
 /// Length of a record's header, in bytes.
-const HEADER_LENGTH: usize = 8;
+pub(super) const HEADER_LENGTH: usize = 8;
 /// Longest content of one STDOUT record, in bytes: the length field has 16 bits, and content whose length is a multiple
 /// of 8 needs no padding.
 const STDOUT_CHUNK: usize = 0xfff8;
@@ -91,71 +89,6 @@
     }
 }
 
-/// Decodes records from a ring buffer. A record may be longer than the ring.
-pub(super) struct RecordDecoder {
-    /// The bytes of the record that is being received, or of the one that was returned last.
-    bytes: Vec<u8>,
-    /// Whether `bytes` is a complete record, which has been returned.
-    is_complete: bool,
-    /// When decoding of the record began.
-    started_at: Instant,
-}
-
-impl RecordDecoder {
-    pub(super) fn new() -> Self {
-        RecordDecoder {
-            bytes: Vec::new(),
-            is_complete: false,
-            started_at: Instant::now(),
-        }
-    }
-
-    /// Whether no record is partly received.
-    pub(super) fn is_between_records(&self) -> bool {
-        self.bytes.is_empty()
-    }
-
-    /// Whether a record is partly received and began longer than `limit` ago.
-    pub(super) fn is_overdue(&self, limit: Duration) -> bool {
-        !self.bytes.is_empty() && self.started_at.elapsed() > limit
-    }
-
-    /// Returns the next record, or `None` while it is not completely received.
-    pub(super) fn next(&mut self, ring: &mut Ring) -> Result<Option<Record<'_>>, FastCgiError> {
-        if self.is_complete {
-            self.bytes.clear();
-            self.is_complete = false;
-        }
-        if self.bytes.is_empty() {
-            self.started_at = Instant::now();
-        }
-        if self.bytes.len() < HEADER_LENGTH {
-            ring.take(HEADER_LENGTH - self.bytes.len(), &mut self.bytes);
-        }
-        let [version, record_type, id_high, id_low, length_high, length_low, padding, _, ..] =
-            self.bytes[..]
-        else {
-            return Ok(None);
-        };
-        if version != VERSION {
-            return Err(FastCgiError::UnsupportedVersion(version));
-        }
-        let content_end =
-            HEADER_LENGTH + usize::from(u16::from_be_bytes([length_high, length_low]));
-        let record_end = content_end + usize::from(padding);
-        ring.take(record_end - self.bytes.len(), &mut self.bytes);
-        if self.bytes.len() < record_end {
-            return Ok(None);
-        }
-        self.is_complete = true;
-        Ok(Some(Record {
-            record_type,
-            request_id: u16::from_be_bytes([id_high, id_low]),
-            content: &self.bytes[HEADER_LENGTH..content_end],
-        }))
-    }
-}
-
 /// Appends one record to `to`. `content` must be shorter than 64 KiB.
 pub fn append_record(record_type: u8, request_id: u16, content: &[u8], to: &mut Vec<u8>) {
     to.extend([VERSION, record_type]);
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -74,9 +74,14 @@
 const REQUESTS_PER_CONNECTION: usize = 32;
 
 /// Most memory that the requests of one client connection may reserve, those that it has cancelled and that the core has
-/// not handled yet included. As many requests as may be open fit, each of the largest size.
-const CONNECTION_REQUEST_BYTES: usize =
-    REQUESTS_PER_CONNECTION * (REQUEST_RECORD_BYTES + HEAD_BYTES + REQUEST_BODY_BYTES);
+/// not handled yet included. As many requests as may be open fit, each of the largest size, and the record that is being
+/// received.
+const CONNECTION_REQUEST_BYTES: usize = REQUESTS_PER_CONNECTION
+    * (REQUEST_RECORD_BYTES + HEAD_BYTES + REQUEST_BODY_BYTES)
+    + RECORD_CONTENT_BYTES;
+
+/// Maximum size of the content of a FastCGI record.
+const RECORD_CONTENT_BYTES: usize = 64 * KIB;
 
 /// Interval at which a client connection checks its timeouts, the shortest of which is 2 s.
 const CLIENT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
--- a/wrenseam/tests/platform/mod.rs
+++ b/wrenseam/tests/platform/mod.rs
@@ -21,6 +21,10 @@
     front_end::{FrontEnd, FrontEndSettings, ProcessLimits},
     rules::{cold_overload, forbidden_duplicates, late_arrivals, DrainLimits},
     settings::{Deployment, FUNCTIONS},
+    support::{
+        fastcgi::{fastcgi_record, fastcgi_request},
+        sockets::connect,
+    },
     worker::{Arrival, ArrivalKind, Drain, SimulatedWorker},
 };
 
--- a/wrenseam/tests/rejected_requests.rs
+++ b/wrenseam/tests/rejected_requests.rs
@@ -7,18 +7,21 @@
 };
 use rstest::rstest;
 use std::io::Write;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use wrenseam::limits::Limits;
 use wrenseam::model::{Answer, Payload};
 
 // FastCGI record types.
 const PARAMS: u8 = 4;
 const STDIN: u8 = 5;
+const GET_VALUES: u8 = 9;
 
 /// Bytes of a BEGIN_REQUEST record.
 const BEGIN_BYTES: usize = 16;
 /// Bytes of the empty record that ends a request.
 const END_BYTES: usize = 8;
+/// No test takes longer.
+const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 /// How long the clients wait, in ms.
 const WAIT_MS: u32 = 20_000;
 /// Time in which a request must be complete in the tests.
@@ -121,3 +124,40 @@
     serve(&front.next_request());
     assert_eq!(read_status(&mut front), "Status: 200 OK");
 }
+
+/// Guards against memory that no budget counts: what a connection stores of a record that may never become whole.
+#[rstest]
+#[case::parameters(fastcgi_record(PARAMS, 2, &[0; 16_000]))]
+#[case::body(fastcgi_record(STDIN, 2, &[0; 16_000]))]
+#[case::management(fastcgi_record(GET_VALUES, 0, &[0; 16_000]))]
+fn a_half_received_record_is_reserved_in_the_budget(#[case] record: Vec<u8>) {
+    let mut front = InProcessFront::start(Protocol::Platform, |_| {});
+    send(&mut front, &whole(2)[..BEGIN_BYTES]);
+    send(&mut front, &record[..record.len() - 1]);
+    let since = Instant::now();
+    while front.context.budget.reserved() < 16_000 {
+        assert!(since.elapsed() < TEST_TIMEOUT, "not reserved");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    drop(front.client);
+    while front.context.budget.reserved() > 0 {
+        assert!(since.elapsed() < TEST_TIMEOUT, "not given back");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Guards against a record that is stored although it is too long: its request is rejected by its header.
+#[rstest]
+#[case::parameters(PARAMS)]
+#[case::body(STDIN)]
+fn a_record_that_is_too_long_is_rejected_before_it_comes(#[case] record_type: u8) {
+    let mut front = InProcessFront::start(Protocol::Platform, |_| {});
+    send(&mut front, &whole(2)[..BEGIN_BYTES]);
+    let header = &fastcgi_record(record_type, 2, &[0; 17_000])[..8];
+    send(&mut front, header);
+    assert_eq!(read_status(&mut front), "Status: 400 Bad Request");
+    send(&mut front, &[0; 17_000]);
+    send(&mut front, &whole(2));
+    serve(&front.next_request());
+    assert_eq!(read_status(&mut front), "Status: 200 OK");
+}
--- a/wrenseam/tests/resource_limits.rs
+++ b/wrenseam/tests/resource_limits.rs
@@ -3,10 +3,13 @@
 mod platform;
 
 use platform::{
-    start_workers, wait_until, Abuse, AbusiveClients, ClientSettings, Clients, Deployment,
-    DiscoveryService, EventLog, FrontEnd, FrontEndSettings, ProcessLimits, SimulatedWorker,
+    connect, fastcgi_record, fastcgi_request, start_workers, wait_until, Abuse, AbusiveClients,
+    ClientSettings, Clients, Deployment, DiscoveryService, EventLog, FrontEnd, FrontEndSettings,
+    ProcessLimits, SimulatedWorker,
 };
 use rstest::rstest;
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -21,6 +24,14 @@
     descriptors: 384,
 };
 const KIB_PER_MB: u64 = 1024;
+/// Clients hold at most a third of 1,024 descriptors.
+const HALF_WRITTEN_CONNECTIONS: usize = 336;
+/// How long half-written connections are held.
+const HOLD_TIME: Duration = Duration::from_secs(1);
+/// FastCGI record type of a request's parameters.
+const PARAMS: u8 = 4;
+/// Bytes of a BEGIN_REQUEST record.
+const BEGIN_BYTES: usize = 16;
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Held by the test that runs: beside each other, the clients of several tests would slow each other down.
@@ -32,12 +43,17 @@
     discovery: DiscoveryService,
     workers: Vec<SimulatedWorker>,
     front_end: FrontEnd,
+    limits: ProcessLimits,
     peak_descriptors: usize,
     _turn: MutexGuard<'static, ()>,
 }
 
 impl Platform {
     fn start() -> Platform {
+        Platform::start_limited(LIMITS)
+    }
+
+    fn start_limited(limits: ProcessLimits) -> Platform {
         let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
         let (workers, log) = start_workers(WORKERS, Duration::ZERO);
         let discovery = DiscoveryService::start(&log);
@@ -45,7 +61,7 @@
             deployment: Deployment::default(),
             index: 0,
             seed: 0x31,
-            limits: LIMITS,
+            limits,
         };
         let front_end = FrontEnd::start(settings, &log, discovery.address);
         Platform {
@@ -53,6 +69,7 @@
             discovery,
             workers,
             front_end,
+            limits,
             peak_descriptors: 0,
             _turn: turn,
         }
@@ -80,17 +97,17 @@
     fn assert_within_limits(&mut self) {
         assert!(self.front_end.is_running(), "the process has ended");
         let peak_kib = self.front_end.peak_resident_kib().expect("it runs");
-        let peak_descriptors = self.peak_descriptors;
+        let (limits, peak_descriptors) = (self.limits, self.peak_descriptors);
         eprintln!("at most {peak_kib} KiB resident and {peak_descriptors} descriptors");
         assert!(
-            peak_kib <= LIMITS.memory_mb * KIB_PER_MB,
+            peak_kib <= limits.memory_mb * KIB_PER_MB,
             "{peak_kib} KiB were resident, limit {} MB",
-            LIMITS.memory_mb
+            limits.memory_mb
         );
         assert!(
-            peak_descriptors < LIMITS.descriptors,
+            peak_descriptors < limits.descriptors,
             "{peak_descriptors} descriptors were open, limit {}",
-            LIMITS.descriptors
+            limits.descriptors
         );
         self.assert_serves_usual_clients();
     }
@@ -146,6 +163,30 @@
     platform.assert_within_limits();
 }
 
+/// Guards against records that are being received and are in no budget: each connection held up to 64 KiB of one.
+#[rstest]
+#[case::longer_than_allowed(60_000)]
+#[case::nearly_as_long_as_allowed(16_000)]
+fn half_received_records_take_no_more_memory_than_the_budget(#[case] content_bytes: usize) {
+    let mut platform = Platform::start_limited(ProcessLimits {
+        memory_mb: LIMITS.memory_mb,
+        descriptors: 1_024,
+    });
+    let request = fastcgi_request(1, &[], b"");
+    let record = fastcgi_record(PARAMS, 1, &vec![b'x'; content_bytes]);
+    let half_written = [&request[..BEGIN_BYTES], &record[..record.len() - 1]].concat();
+    let connections: Vec<TcpStream> = (0..HALF_WRITTEN_CONNECTIONS)
+        .map(|_| {
+            let mut stream = connect(platform.front_end.address);
+            stream.write_all(&half_written).expect("written");
+            stream
+        })
+        .collect();
+    platform.observe(HOLD_TIME);
+    drop(connections);
+    platform.assert_within_limits();
+}
+
 #[test]
 fn timers_of_answered_requests_with_long_timeouts_do_not_accumulate() {
     let mut platform = Platform::start();
