Fronts: the coroutine that writes responses starts with the first response

Beside its record each of 336 half-written connections cost some 45 KB, two coroutines of which the writer had nothing to write; whole records of 16,000 bytes left a front end of 32 MB at 29.8 MiB with its program file. Cause: the front started a writer with each connection. Many connections never get a response. Change: Outbox keeps what the writer needs and starts it when the first response is queued; a connection that closes before is shut down without one.

--- a/wrenseam/src/front/connection.rs
+++ b/wrenseam/src/front/connection.rs
@@ -232,8 +232,8 @@
     let peer = stream
         .peer_addr()
         .map_or("?".to_owned(), |peer| peer.to_string());
-    let out = match stream.try_clone().and_then(|stream| context.outbox(stream)) {
-        Ok(out) => out,
+    let out = match stream.try_clone() {
+        Ok(stream) => context.outbox(stream),
         Err(error) => return protocol.log.not_started(protocol.front, &peer, &error),
     };
     guard.slot.attach_outbox(&out);
--- a/wrenseam/src/front/listener.rs
+++ b/wrenseam/src/front/listener.rs
@@ -8,7 +8,6 @@
 use crate::process_state::ProcessState;
 use crate::queue::CoreHandle;
 use may::net::{TcpListener, TcpStream};
-use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{FromRawFd, IntoRawFd};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -72,12 +71,9 @@
         }
     }
 
-    /// Starts the writer of a client connection.
-    ///
-    /// # Errors
-    /// The writer's coroutine could not be started.
-    pub fn outbox(&self, stream: TcpStream) -> io::Result<Outbox> {
-        Outbox::start(stream, &self.limits, &self.budget, &self.unsent_bytes)
+    /// The sending side of a client connection.
+    pub fn outbox(&self, stream: TcpStream) -> Outbox {
+        Outbox::new(stream, &self.limits, &self.budget, &self.unsent_bytes)
     }
 }
 
--- a/wrenseam/src/net/messages.rs
+++ b/wrenseam/src/net/messages.rs
@@ -22,3 +22,8 @@
         )
     })
 }
+
+/// A connection is closed because its writer could not be started.
+pub fn writer_not_started(error: &std::io::Error) -> impl Display + '_ {
+    fmt::from_fn(move |f| write!(f, "client: connection closed: writer not started: {error}"))
+}
--- a/wrenseam/src/net/outbox.rs
+++ b/wrenseam/src/net/outbox.rs
@@ -6,9 +6,9 @@
 use crate::memory_budget::MemoryBudget;
 use crate::model::{ClientProbe, ClientState};
 use may::net::TcpStream;
-use may::sync::mpsc::{channel, Sender};
+use may::sync::mpsc::{channel, Receiver, Sender};
 use std::fmt;
-use std::io::{self, Read};
+use std::io::Read;
 use std::net::Shutdown;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
@@ -60,10 +60,19 @@
     is_delivered: AtomicBool,
 }
 
+/// What the writer of a connection needs once it starts.
+struct WaitingWriter {
+    socket: Arc<ClientSocket>,
+    queue: Receiver<WriteCommand>,
+    calls: Arc<dyn SystemCalls>,
+}
+
 /// The sending side of a client connection.
 #[derive(Clone)]
 pub struct Outbox {
     commands: Sender<WriteCommand>,
+    /// The writer until the first response is sent.
+    waiting_writer: Arc<Mutex<Option<WaitingWriter>>>,
     unsent: UnsentBytes,
     close_state: Arc<CloseState>,
     budget: MemoryBudget,
@@ -74,51 +83,89 @@
 }
 
 impl Outbox {
-    /// Starts the writer of a connection. `unsent_bytes` counts the unsent bytes of all client connections.
-    ///
-    /// # Errors
-    /// The coroutine could not be started.
-    pub fn start(
+    /// The sending side of a connection. `unsent_bytes` counts the unsent bytes of all client connections. The writer's
+    /// coroutine starts with the first response: many connections never get one.
+    pub fn new(
         stream: TcpStream,
         limits: &Arc<Limits>,
         budget: &MemoryBudget,
         unsent_bytes: &Arc<AtomicUsize>,
-    ) -> io::Result<Outbox> {
-        Outbox::start_with(stream, limits, budget, unsent_bytes, Arc::new(DirectCalls))
+    ) -> Outbox {
+        Outbox::with_calls(stream, limits, budget, unsent_bytes, Arc::new(DirectCalls))
     }
 
-    /// Like [`Outbox::start`], with `calls` in place of the operating system's.
-    ///
-    /// # Errors
-    /// The coroutine could not be started.
-    pub fn start_with(
+    /// Like [`Outbox::new`], with `calls` in place of the operating system's.
+    pub fn with_calls(
         stream: TcpStream,
         limits: &Arc<Limits>,
         budget: &MemoryBudget,
         unsent_bytes: &Arc<AtomicUsize>,
         calls: Arc<dyn SystemCalls>,
-    ) -> io::Result<Outbox> {
+    ) -> Outbox {
         let (commands, queue) = channel();
         let socket = Arc::new(ClientSocket(stream));
-        let outbox = Outbox {
+        let client_probe = Arc::new(SocketProbe(Arc::downgrade(&socket)));
+        let weak_socket = Arc::downgrade(&socket);
+        let waiting_writer = WaitingWriter {
+            socket,
+            queue,
+            calls,
+        };
+        Outbox {
             commands,
+            waiting_writer: Arc::new(Mutex::new(Some(waiting_writer))),
             unsent: UnsentBytes::new(unsent_bytes),
             close_state: Arc::default(),
             budget: budget.clone(),
             limits: limits.clone(),
             delivery: Arc::new(Mutex::new(DeliveryProgress::new(Instant::now()))),
-            client_probe: Arc::new(SocketProbe(Arc::downgrade(&socket))),
-            socket: Arc::downgrade(&socket),
+            client_probe,
+            socket: weak_socket,
+        }
+    }
+
+    /// Gives a command to the writer, which starts with the first response. Returns false if the writer has ended.
+    fn post(&self, command: WriteCommand) -> bool {
+        let Ok(mut waiting_writer) = self.waiting_writer.lock() else {
+            return false;
         };
-        let limits = limits.clone();
-        let unsent = outbox.unsent.clone();
-        let close_state = outbox.close_state.clone();
-        spawn(limits.coroutine_stack_bytes, move || {
+        if let Some(writer) = waiting_writer.take() {
+            match command {
+                WriteCommand::Write { .. } => self.start_writer(writer),
+                WriteCommand::HalfClose => self.end_without_writer(&writer.socket, Shutdown::Write),
+                WriteCommand::Close => self.end_without_writer(&writer.socket, Shutdown::Both),
+            }
+        }
+        self.commands.send(command).is_ok()
+    }
+
+    fn start_writer(&self, writer: WaitingWriter) {
+        let WaitingWriter {
+            socket,
+            queue,
+            calls,
+        } = writer;
+        let unstarted = socket.clone();
+        let limits = self.limits.clone();
+        let unsent = self.unsent.clone();
+        let close_state = self.close_state.clone();
+        let started = spawn(self.limits.coroutine_stack_bytes, move || {
             ConnectionWriter::new(&socket.0, &*calls, &limits, &unsent).run(&queue);
             drop(socket);
             close_state.has_writer_ended.store(true, Ordering::Release);
-        })?;
-        Ok(outbox)
+        });
+        if let Err(error) = started {
+            log_limited!("{}", messages::writer_not_started(&error));
+            self.close_state.is_aborted.store(true, Ordering::Release);
+            self.end_without_writer(&unstarted, Shutdown::Both);
+        }
+    }
+
+    /// Closes a connection whose writer is not started.
+    fn end_without_writer(&self, socket: &ClientSocket, direction: Shutdown) {
+        let _ = socket.0.shutdown(direction); // fails if the connection has ended by itself
+        let has_writer_ended = &self.close_state.has_writer_ended;
+        has_writer_ended.store(true, Ordering::Release);
     }
 
     /// A probe that tells whether the client is still connected.
@@ -142,7 +189,7 @@
         }
         self.unsent.add(size);
         let command = WriteCommand::Write { bytes, reserved };
-        if self.commands.send(command).is_err() {
+        if !self.post(command) {
             self.unsent.discard(size);
         }
     }
@@ -151,14 +198,14 @@
     /// [`Outbox::linger`].
     pub fn close(&self) {
         self.close_state.is_closing.store(true, Ordering::Release);
-        let _ = self.commands.send(WriteCommand::HalfClose); // fails if the writer has ended: closed already
+        self.post(WriteCommand::HalfClose);
     }
 
     /// Closes the connection once everything queued is written, without reading further. For connections whose client
     /// has left, or on which everything has been delivered.
     pub fn abort(&self) {
         if !self.close_state.is_aborted.swap(true, Ordering::AcqRel) {
-            let _ = self.commands.send(WriteCommand::Close); // fails if the writer has ended: closed already
+            self.post(WriteCommand::Close);
         }
     }
 
--- a/wrenseam/tests/log_messages.rs
+++ b/wrenseam/tests/log_messages.rs
@@ -112,6 +112,10 @@
     connection_messages::response_write_failed(&error()).to_string(),
     "client: connection closed: writing a response failed: out of memory"
 )]
+#[case(
+    connection_messages::writer_not_started(&error()).to_string(),
+    "client: connection closed: writer not started: out of memory"
+)]
 #[case(
     shutdown_messages::discovery_moved(peer()).to_string(),
     "reload: the discovery service is at 10.0.0.1:4000"
@@ -218,6 +222,7 @@
 #[case("`admin: active, this process sends to workers in slow start`")]
 #[case("`client: connection closed: N bytes of responses unread`")]
 #[case("`client: connection closed: writing a response failed: …`")]
+#[case("`client: connection closed: writer not started: …`")]
 #[case("`reload: the discovery service is at ADDRESS`")]
 #[case("`reload: configuration unchanged: …`")]
 #[case("`shutdown: signal received, listeners close in N ms`")]
--- a/wrenseam/tests/resource_limits.rs
+++ b/wrenseam/tests/resource_limits.rs
@@ -169,7 +169,7 @@
 #[case::nearly_as_long_as_allowed(16_000)]
 fn half_received_records_take_no_more_memory_than_the_budget(#[case] content_bytes: usize) {
     let mut platform = Platform::start_limited(ProcessLimits {
-        memory_mb: LIMITS.memory_mb,
+        memory_mb: 32,
         descriptors: 1_024,
     });
     let request = fastcgi_request(1, &[], b"");
--- a/wrenseam/tests/system_calls.rs
+++ b/wrenseam/tests/system_calls.rs
@@ -108,8 +108,7 @@
     wrenseam::net::spawn(64 * 1024, move || {
         let stream = may::net::TcpStream::connect(address).expect("a connection");
         let budget = MemoryBudget::new(outbox_limits.memory_budget_bytes);
-        let outbox = Outbox::start_with(stream, &outbox_limits, &budget, &Arc::default(), calls)
-            .expect("started");
+        let outbox = Outbox::with_calls(stream, &outbox_limits, &budget, &Arc::default(), calls);
         outbox.send(b"the whole answer".to_vec());
         outbox.close();
     })
--- a/wrenseam/tests/unread_responses.rs
+++ b/wrenseam/tests/unread_responses.rs
@@ -318,7 +318,7 @@
     let (release, released) = channel::<()>();
     wrenseam::net::spawn(64 * 1024, move || {
         let (stream, _) = listener.accept().expect("a connection");
-        let out = Outbox::start(stream, &limits, &budget, &Arc::default()).expect("started");
+        let out = Outbox::new(stream, &limits, &budget, &Arc::default());
         assert!(out.close_idle(linger));
         let _ = released.recv(); // blocks the thread, not only the coroutine
     })
--- a/wrenseam/tests/unsent_responses.rs
+++ b/wrenseam/tests/unsent_responses.rs
@@ -44,8 +44,7 @@
         let start = |_| {
             let stream = may::net::TcpStream::connect(address).expect("a connection");
             let calls = Arc::new(BlockedWrites);
-            Outbox::start_with(stream, &connection_limits, &budget, &Arc::default(), calls)
-                .expect("started")
+            Outbox::with_calls(stream, &connection_limits, &budget, &Arc::default(), calls)
         };
         let outboxes: Vec<Outbox> = (0..CONNECTIONS).map(start).collect();
         let before = resident_kib().expect("Linux");
