Fronts: half-received requests leave memory for complete requests and for responses

Cause: all requests and all unsent responses shared one budget. Outbox::send found nothing left for a response and ended the connection of a client that reads as it should. The v2 front counted no half-received request at all. Change: requests that are not completely received may take a quarter of the budget, complete ones three quarters; a request is reserved anew when it is complete, or refused as overloaded. The v2 decoder reserves the head by KiB and the body by its stated length; where there is no memory it answers 503 with Retry-After and ends the connection behind the pending responses. Ruled out: more memory in all; the parts are parts of the same quarter of memory_mb.

--- a/wrenseam/src/front/fastcgi/connection.rs
+++ b/wrenseam/src/front/fastcgi/connection.rs
@@ -36,8 +36,10 @@
 pub(super) struct FastCgiConnection<'a> {
     pub(super) context: &'a ListenerContext,
     pub(super) client: Arc<FastCgiClient>,
-    /// The memory budget of this connection's requests.
-    budget: MemoryBudget,
+    /// The memory budget of this connection's requests that are not completely received.
+    partial_request_budget: MemoryBudget,
+    /// The memory budget of this connection's completely received requests.
+    pub(super) request_budget: MemoryBudget,
     /// Requests that are neither completely received nor answered yet, by FastCGI request id.
     partial_requests: HashMap<u16, PartialRequest>,
     /// The number of requests that have been passed to the core.
@@ -49,12 +51,12 @@
 
 impl<'a> FastCgiConnection<'a> {
     fn new(context: &'a ListenerContext, client: Arc<FastCgiClient>) -> Self {
+        let max_bytes = context.limits.max_connection_request_bytes;
         FastCgiConnection {
             context,
             client,
-            budget: context
-                .budget
-                .part(context.limits.max_connection_request_bytes),
+            partial_request_budget: context.partial_request_budget.part(max_bytes),
+            request_budget: context.request_budget.part(max_bytes),
             partial_requests: HashMap::new(),
             submitted: 0,
             discarded: 0,
@@ -173,10 +175,12 @@
         if !is_stored {
             return Ok(Admission::Discard);
         }
-        Ok(match self.budget.reserve(header.content_length) {
-            Some(reserved) => Admission::Store(reserved),
-            None => self.reject_record(header),
-        })
+        Ok(
+            match self.partial_request_budget.reserve(header.content_length) {
+                Some(reserved) => Admission::Store(reserved),
+                None => self.reject_record(header),
+            },
+        )
     }
 
     /// Whether a part of a request is stored. A part that is too long is rejected, with its request, before it comes.
@@ -266,7 +270,7 @@
             self.reject_early(request_id, rejection);
         } else {
             let record_bytes = self.context.limits.request_record_bytes;
-            let reserved = self.budget.reserve(record_bytes);
+            let reserved = self.partial_request_budget.reserve(record_bytes);
             let partial = PartialRequest::new(!begin.keeps_connection(), reserved);
             self.partial_requests.insert(request_id, partial);
         }
--- a/wrenseam/src/front/fastcgi/dispatch.rs
+++ b/wrenseam/src/front/fastcgi/dispatch.rs
@@ -1,7 +1,7 @@
 //! Handles complete FastCGI requests: answers health checks, rejects requests, and passes the others to the core.
 use super::answers::{answer_response, request_tag, status_response, OpenRequest};
 use super::connection::FastCgiConnection;
-use super::partial::PartialRequest;
+use super::partial::{EarlyRejection, PartialRequest};
 use super::request::Parameters;
 use crate::front::connection::ConnectionError;
 use crate::model::{Answer, Request, RequestEnd};
@@ -35,10 +35,15 @@
             self.reject_in_drain(request_id, &parameters, partial);
             return Ok(());
         }
+        let Some(reserved_bytes) = self.request_budget.reserve(self.request_size(&partial)) else {
+            let rejection = EarlyRejection::MemoryLimit;
+            self.reject(request_id, rejection.into(), partial.close);
+            return Ok(());
+        };
         let request = parameters.to_request(partial.body, &self.context.limits);
         let request = request.map(|request| Request {
             received_at,
-            reserved_bytes: partial.reserved_bytes,
+            reserved_bytes: Some(reserved_bytes),
             client_probe: Some(self.client.channel.out.client_probe()),
             ..request
         });
@@ -51,6 +56,11 @@
         }
     }
 
+    /// The memory that a complete request takes.
+    fn request_size(&self, partial: &PartialRequest) -> usize {
+        self.context.limits.request_record_bytes + partial.params.len() + partial.body.len()
+    }
+
     fn report_health(&self, request_id: u16, close: bool) {
         let status = if self.context.process_state.accepts_clients() {
             "200 OK"
--- a/wrenseam/src/front/fastcgi/partial.rs
+++ b/wrenseam/src/front/fastcgi/partial.rs
@@ -52,7 +52,7 @@
     pub(super) body: Vec<u8>,
     /// Its part of the memory budget, reserved as records arrive, because requests that are never completed take memory
     /// too. `None` if the budget was exceeded when it began.
-    pub(super) reserved_bytes: Option<MemoryReservation>,
+    reserved_bytes: Option<MemoryReservation>,
 }
 
 impl PartialRequest {
--- a/wrenseam/src/front/kserve/connection.rs
+++ b/wrenseam/src/front/kserve/connection.rs
@@ -1,21 +1,19 @@
 //! Serves one HTTP connection, of a KServe v2 client or of the administration API.
 use super::admin_api;
 use super::answers::HttpClient;
-use super::decoder::{Decoded, HttpError, HttpRequest, RequestDecoder};
+use super::decoder::{advice_header, Decoded, HttpError, HttpRequest, RequestDecoder};
 use super::routes::{self, Reply};
 use crate::front::connection::{
     self, ConnectionError, ConnectionLog, ConnectionReader, Flow, Protocol,
 };
 use crate::front::ListenerContext;
-use crate::http::{response, Status};
+use crate::http::response;
 use crate::net::SlotGuard;
 use may::net::TcpStream;
 use std::sync::Arc;
 
 /// The interim response for which a client waits before it sends its body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
-/// The header of a 503 response that does not come from the core and so has no advice of its own.
-const RETRY_AFTER_HEADER: &str = "Retry-After: 1\r\n";
 
 static LOG: ConnectionLog = ConnectionLog::new();
 
@@ -64,7 +62,7 @@
 impl HttpConnection<'_> {
     fn run(&mut self, reader: &mut ConnectionReader) -> Result<(), ConnectionError> {
         let limits = &self.context.limits;
-        let mut decoder = RequestDecoder::default();
+        let mut decoder = RequestDecoder::new(self.context.partial_request_budget.clone());
         loop {
             if reader.receive(decoder.is_between_requests())? == Flow::Ended {
                 return Ok(());
@@ -136,12 +134,8 @@
             Reply::Evicted => Err(ConnectionError::Evicted),
             Reply::Now { status, body } => {
                 self.client.channel.slot.touch();
-                let headers = match status {
-                    Status::ServiceUnavailable => RETRY_AFTER_HEADER,
-                    _ => "",
-                };
                 self.client.respond(self.tag, |close| {
-                    response(status.as_str(), headers, &body, close)
+                    response(status.as_str(), advice_header(status), &body, close)
                 });
                 Ok(())
             }
--- a/wrenseam/src/front/kserve/decoder.rs
+++ b/wrenseam/src/front/kserve/decoder.rs
@@ -2,6 +2,7 @@
 use super::answers::error_body;
 use crate::http::{response, Head, HeadError, Status};
 use crate::limits::Limits;
+use crate::memory_budget::{MemoryBudget, MemoryReservation};
 use crate::ring::Ring;
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,19 @@
 /// An empty line, which is skipped before a request.
 const EMPTY_LINE: &[u8] = b"\r\n";
 
+/// Memory for a head is reserved in pieces of this many bytes.
+const HEAD_RESERVATION_BYTES: usize = 1024;
+/// The header of a 503 response that does not come from the core and so has no advice of its own.
+const RETRY_AFTER_HEADER: &str = "Retry-After: 1\r\n";
+
+/// The header that advises clients, of a response with this status that does not come from the core.
+pub(super) fn advice_header(status: Status) -> &'static str {
+    match status {
+        Status::ServiceUnavailable => RETRY_AFTER_HEADER,
+        _ => "",
+    }
+}
+
 /// Why a request cannot be read. Clients get the texts in error responses, so they must not change. The connection
 /// closes after the response.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
@@ -29,6 +43,9 @@
     /// The request was not complete within `Limits::request_read_timeout`.
     #[error("the request never came whole")]
     Timeout,
+    /// The memory budget of requests that are not completely received is used up.
+    #[error("too many bytes are held")]
+    MemoryLimit,
 }
 
 impl HttpError {
@@ -39,13 +56,15 @@
             HttpError::ChunkedBody => Status::LengthRequired,
             HttpError::BodyTooLong => Status::ContentTooLarge,
             HttpError::Timeout => Status::RequestTimeout,
+            HttpError::MemoryLimit => Status::ServiceUnavailable,
         }
     }
 
     /// The error response. With `close`, it announces that the connection closes.
     pub(super) fn response(&self, close: bool) -> Vec<u8> {
+        let status = self.status();
         let body = error_body(&self.to_string());
-        response(self.status().as_str(), "", &body, close)
+        response(status.as_str(), advice_header(status), &body, close)
     }
 }
 
@@ -64,8 +83,12 @@
 }
 
 /// Decodes requests from a ring buffer.
-#[derive(Default)]
 pub(super) struct RequestDecoder {
+    /// The memory budget of requests that are not completely received.
+    budget: MemoryBudget,
+    /// What is reserved for the present request, and for how many bytes; `None` between requests.
+    reserved: Option<MemoryReservation>,
+    reserved_head_bytes: usize,
     /// The bytes of the head that is being received.
     head: Vec<u8>,
     /// The request whose body is being received; `None` until its head is complete.
@@ -75,6 +98,17 @@
 }
 
 impl RequestDecoder {
+    pub(super) fn new(budget: MemoryBudget) -> Self {
+        RequestDecoder {
+            budget,
+            reserved: None,
+            reserved_head_bytes: 0,
+            head: Vec::new(),
+            partial: None,
+            started_at: None,
+        }
+    }
+
     /// Whether no request is partly received.
     pub(super) fn is_between_requests(&self) -> bool {
         self.started_at.is_none()
@@ -98,7 +132,7 @@
                 return Ok(Some(Decoded::ExpectsContinue));
             }
             if let Some(request) = self.read_body(ring) {
-                self.started_at = None;
+                self.end_request();
                 return Ok(Some(Decoded::Request(request)));
             }
         }
@@ -108,10 +142,11 @@
     /// Reads one byte of a head. If that completes the head, checks it and prepares for the body. Returns whether the
     /// client waits for a 100 Continue.
     fn read_head(&mut self, ring: &mut Ring, limits: &Limits) -> Result<bool, HttpError> {
+        self.reserve_head()?;
         ring.take(1, &mut self.head);
         if self.head == EMPTY_LINE {
             self.head.clear();
-            self.started_at = None;
+            self.end_request();
         }
         if self.head.len() > limits.max_head_bytes {
             return Err(HttpError::HeadTooLong);
@@ -128,12 +163,41 @@
         if length > limits.max_body_bytes {
             return Err(HttpError::BodyTooLong);
         }
+        self.reserve(length)?;
         let expects_continue = head.expects_continue && length > 0;
         let body = Vec::with_capacity(length);
         self.partial = Some(HttpRequest { head, body });
         Ok(expects_continue)
     }
 
+    /// Gives back what the present request took; another may follow.
+    fn end_request(&mut self) {
+        self.started_at = None;
+        self.reserved = None;
+        self.reserved_head_bytes = 0;
+    }
+
+    /// Reserves memory for another byte of the head.
+    fn reserve_head(&mut self) -> Result<(), HttpError> {
+        if self.head.len() < self.reserved_head_bytes {
+            return Ok(());
+        }
+        self.reserve(HEAD_RESERVATION_BYTES)?;
+        self.reserved_head_bytes += HEAD_RESERVATION_BYTES;
+        Ok(())
+    }
+
+    fn reserve(&mut self, bytes: usize) -> Result<(), HttpError> {
+        let fits = match &mut self.reserved {
+            Some(reserved) => reserved.grow(bytes),
+            None => {
+                self.reserved = self.budget.reserve(bytes);
+                self.reserved.is_some()
+            }
+        };
+        fits.then_some(()).ok_or(HttpError::MemoryLimit)
+    }
+
     /// Reads the next part of the body. Returns the request if it is complete.
     fn read_body(&mut self, ring: &mut Ring) -> Option<HttpRequest> {
         let request = self.partial.as_mut()?;
--- a/wrenseam/src/front/kserve/routes.rs
+++ b/wrenseam/src/front/kserve/routes.rs
@@ -104,7 +104,7 @@
     let context = connection.context;
     let received_at = Instant::now();
     let size = context.limits.request_record_bytes + body.len();
-    let Some(reserved_bytes) = context.budget.reserve(size) else {
+    let Some(reserved_bytes) = context.request_budget.reserve(size) else {
         log_limited!("{}", messages::v2_memory_limit());
         return Reply::error(Status::ServiceUnavailable, "too many bytes are held");
     };
--- a/wrenseam/src/front/listener.rs
+++ b/wrenseam/src/front/listener.rs
@@ -30,6 +30,10 @@
     pub limits: Arc<Limits>,
     /// The memory budget of all requests and unsent responses.
     pub budget: MemoryBudget,
+    /// The part of the budget for requests that are not completely received.
+    pub partial_request_budget: MemoryBudget,
+    /// The part of the budget for completely received requests; the rest is left to responses.
+    pub request_budget: MemoryBudget,
     /// The slots for the client connections of all fronts.
     pub slots: ConnectionSlots,
     /// Bytes of responses that are not written yet, over all client connections.
@@ -50,12 +54,15 @@
 impl ListenerContext {
     /// Creates the context of a starting process, without any connections.
     pub fn new(core: CoreHandle, limits: Arc<Limits>, process_state: Arc<ProcessState>) -> Self {
+        let budget = MemoryBudget::with_gauge(
+            limits.memory_budget_bytes,
+            process_state.reserved_bytes.clone(),
+        );
         ListenerContext {
             core,
-            budget: MemoryBudget::with_gauge(
-                limits.memory_budget_bytes,
-                process_state.reserved_bytes.clone(),
-            ),
+            partial_request_budget: budget.part(limits.max_partial_request_bytes),
+            request_budget: budget.part(limits.max_request_bytes),
+            budget,
             slots: ConnectionSlots::new(
                 limits.max_client_connections,
                 process_state.draining.clone(),
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -39,6 +39,13 @@
 /// second copy of the body, and rings and stacks come on top.
 const MEMORY_BUDGET_DIVISOR: usize = 4;
 
+/// Divisor of the budget that gives the part for requests that are not completely received: their clients may never
+/// complete them, and must not take the memory of others.
+const PARTIAL_REQUESTS_DIVISOR: usize = 4;
+
+/// Divisor of the budget that gives the part that requests leave to unsent responses: what was accepted must be answered.
+const RESPONSES_DIVISOR: usize = 4;
+
 /// Maximum size of a request's body.
 const REQUEST_BODY_BYTES: usize = 16 * KIB;
 
@@ -269,6 +276,10 @@
     pub max_connection_request_bytes: usize,
     /// Bytes that all requests and unsent responses may reserve together.
     pub memory_budget_bytes: usize,
+    /// Bytes of them that all requests may reserve which are not completely received.
+    pub max_partial_request_bytes: usize,
+    /// Bytes of them that all completely received requests may reserve.
+    pub max_request_bytes: usize,
     /// Stack size of a coroutine, in bytes.
     pub coroutine_stack_bytes: usize,
     /// The listeners stay open for this long after SIGTERM.
@@ -286,6 +297,7 @@
     /// Computes the limits from the platform's memory limit (in MB) and descriptor limit and from the settings.
     pub fn new(memory_mb: u64, descriptors: u64, settings: &Settings) -> Self {
         let process = ProcessSize::new(memory_mb, descriptors);
+        let memory_budget_bytes = process.memory_bytes / MEMORY_BUDGET_DIVISOR;
         Limits {
             request_record_bytes: REQUEST_RECORD_BYTES,
             max_body_bytes: REQUEST_BODY_BYTES,
@@ -328,7 +340,9 @@
             keepalive_check_interval: KEEPALIVE_CHECK_INTERVAL,
             memory_bytes: process.memory_bytes,
             max_connection_request_bytes: CONNECTION_REQUEST_BYTES,
-            memory_budget_bytes: process.memory_bytes / MEMORY_BUDGET_DIVISOR,
+            memory_budget_bytes,
+            max_partial_request_bytes: memory_budget_bytes / PARTIAL_REQUESTS_DIVISOR,
+            max_request_bytes: memory_budget_bytes - memory_budget_bytes / RESPONSES_DIVISOR,
             coroutine_stack_bytes: STACK_BYTES,
             listener_close_delay: LISTENER_CLOSE_DELAY,
             shutdown_timeout: shutdown_timeout(settings),
--- a/wrenseam/tests/rejected_requests.rs
+++ b/wrenseam/tests/rejected_requests.rs
@@ -6,7 +6,7 @@
     fastcgi_record, read_fastcgi_answer, request_bytes, InProcessFront, PassedRequest, Protocol,
 };
 use rstest::rstest;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 use wrenseam::limits::Limits;
 use wrenseam::model::{Answer, Payload};
@@ -20,6 +20,10 @@
 const BEGIN_BYTES: usize = 16;
 /// Bytes of the empty record that ends a request.
 const END_BYTES: usize = 8;
+/// Protocol status FCGI_OVERLOADED.
+const OVERLOADED: u8 = 2;
+/// Length of a long answer.
+const LONG_ANSWER_BYTES: usize = 30_000;
 /// No test takes longer.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 /// How long the clients wait, in ms.
@@ -161,3 +165,57 @@
     serve(&front.next_request());
     assert_eq!(read_status(&mut front), "Status: 200 OK");
 }
+
+/// A budget that four half-received requests fill, as far as these may.
+fn small_budget(limits: &mut Limits) {
+    limits.memory_budget_bytes = 256 * 1024;
+    limits.max_partial_request_bytes = 64 * 1024;
+    limits.max_request_bytes = 192 * 1024;
+}
+
+/// Guards against half-received requests that take the memory for the responses of others: a response for which there was
+/// none ended its connection, although the request had run.
+#[test]
+fn half_received_requests_leave_memory_for_responses() {
+    let mut front = InProcessFront::start(Protocol::Platform, small_budget);
+    send(&mut front, &whole(1));
+    let other = front.next_request();
+    for id in 2..30 {
+        let begin = &whole(id)[..BEGIN_BYTES];
+        send(
+            &mut front,
+            &[begin, &fastcgi_record(PARAMS, id, &[0; 14_000])].concat(),
+        );
+    }
+    let refused = read_fastcgi_answer(&mut front.client).expect("a rejection");
+    assert_eq!(refused.protocol_status, OVERLOADED);
+    let answer = Answer::Served(Payload::Bytes(vec![b'x'; LONG_ANSWER_BYTES]));
+    other.client.answer(other.tag, answer);
+    let served = loop {
+        let answer = read_fastcgi_answer(&mut front.client).expect("the response");
+        if answer.protocol_status != OVERLOADED {
+            break answer;
+        }
+    };
+    assert_eq!(served.body.len(), LONG_ANSWER_BYTES);
+}
+
+/// A v2 request for whose body there is no memory is refused, with advice, and ends none before it.
+#[test]
+fn a_v2_request_without_memory_is_refused_behind_the_pending_ones() {
+    let mut front = InProcessFront::start(Protocol::Kserve, |limits| {
+        limits.max_partial_request_bytes = 8 * 1024;
+    });
+    let first = request_bytes(Protocol::Kserve, 1, WAIT_MS);
+    let head = b"POST /v2/models/x/infer HTTP/1.1\r\nHost: t\r\nContent-Length: 16000\r\n\r\n";
+    send(&mut front, &[&first, &head[..]].concat());
+    serve(&front.next_request());
+    let mut received = String::new();
+    front
+        .client
+        .read_to_string(&mut received)
+        .expect("closed without a reset");
+    assert!(received.starts_with("HTTP/1.1 200"), "{received}");
+    let (_, refused) = received.split_once("HTTP/1.1 503").expect("a refusal");
+    assert!(refused.contains("Retry-After: "), "{refused}");
+}
