Fronts: the writer and the reader of a client at full speed both pause for others

Cause: all sockets share one scheduler thread, which polls them only when no coroutine is ready. The reader paused for 0.1 ms after 64 KiB, but meanwhile its writer had hundreds of short responses and wrote one by one without a pause; one of the two was always ready. Change: a writer pauses for 0.1 ms after 16 responses that it did not have to wait for (WriteFairness), and a reader at full speed, after its own pause, waits up to 20 ms while more than 4 KiB of its connection are unsent. Ruled out: holding back readers with unsent responses in general: a cancellation of a slow client would stay unread.

--- a/wrenseam/src/front/connection.rs
+++ b/wrenseam/src/front/connection.rs
@@ -167,7 +167,9 @@
     /// Lets other connections run if this client sends at full speed; otherwise its reader would keep the scheduler's
     /// only thread. Called after each read.
     pub(super) fn yield_if_full_speed(&mut self) {
-        self.fairness.record(self.filled_ring);
+        if self.fairness.record(self.filled_ring) {
+            self.channel.out.wait_for_writer();
+        }
     }
 
     /// Discards input until the client disconnects, a read fails or the connection is half-closed.
--- a/wrenseam/src/net/fairness.rs
+++ b/wrenseam/src/net/fairness.rs
@@ -1,4 +1,6 @@
-//! Fair scheduling of reads: clients that send at full speed must not keep the scheduler's only thread to themselves.
+//! Fair scheduling of reads and writes: clients that send at full speed must not keep the scheduler's only thread to
+//! themselves. The scheduler polls sockets only when no coroutine is ready, so the reader and the writer of such a client
+//! must both pause.
 use super::sleep;
 use may::sync::{Mutex, MutexGuard};
 use std::sync::OnceLock;
@@ -7,6 +9,8 @@
 /// After this many consecutive reads that filled the ring, other connections get their turn. The largest request takes
 /// fewer reads.
 const MAX_FULL_READS: u32 = 16;
+/// After this many responses that were written without waiting for the next one, other connections get their turn.
+const MAX_WRITES: u32 = 16;
 /// Length of the pause in which other connections get their turn. After a mere yield the scheduler would run the same
 /// coroutine again before it polls any socket.
 const YIELD_PAUSE: Duration = Duration::from_micros(100);
@@ -23,16 +27,16 @@
 
 impl ReadFairness {
     /// Records one read. `filled` tells that it filled the ring, so that more input may be waiting. May pause the
-    /// calling coroutine.
-    pub fn record(&mut self, filled: bool) {
+    /// calling coroutine; returns whether it did.
+    pub fn record(&mut self, filled: bool) -> bool {
         if !filled {
             self.full_reads = 0;
             self.turn = None;
-            return;
+            return false;
         }
         self.full_reads += 1;
         if self.full_reads < MAX_FULL_READS {
-            return;
+            return false;
         }
         self.full_reads = 0;
         if self.turn.is_some() {
@@ -40,5 +44,29 @@
         }
         self.turn = None;
         self.turn = FULL_SPEED_READER.get_or_init(Mutex::default).lock().ok();
+        true
+    }
+}
+
+/// Counts the responses that one connection's writer writes without waiting, and pauses it when others must get their
+/// turn.
+#[derive(Default)]
+pub(super) struct WriteFairness {
+    writes: u32,
+}
+
+impl WriteFairness {
+    /// Records that the writer had to wait for a response.
+    pub(super) fn record_wait(&mut self) {
+        self.writes = 0;
+    }
+
+    /// Records a written response. May pause the calling coroutine.
+    pub(super) fn record_write(&mut self) {
+        self.writes += 1;
+        if self.writes >= MAX_WRITES {
+            self.writes = 0;
+            sleep(YIELD_PAUSE);
+        }
     }
 }
--- a/wrenseam/src/net/outbox.rs
+++ b/wrenseam/src/net/outbox.rs
@@ -12,7 +12,7 @@
 use std::net::Shutdown;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// A lingering connection's reads time out after `Limits::linger_timeout` divided by this, so that the end of the
 /// linger is noticed soon.
@@ -21,6 +21,11 @@
 /// passed.
 const LINGER_CHECK_DIVISOR: u32 = 64;
 
+/// How long a reader waits for its connection's writer before it looks again.
+const WRITER_WAIT: Duration = Duration::from_millis(1);
+/// How often a reader waits for its connection's writer before it reads on.
+const MAX_WRITER_WAITS: u32 = 20;
+
 /// The stream of a client connection as its writer uses it.
 struct ClientSocket(TcpStream);
 
@@ -194,6 +199,17 @@
         }
     }
 
+    /// Waits, for a limited time, until the writer has caught up: a client that sends requests faster than their responses
+    /// can be written is read more slowly.
+    pub fn wait_for_writer(&self) {
+        for _ in 0..MAX_WRITER_WAITS {
+            if self.unsent.on_connection() <= self.limits.client_ring_bytes || self.is_closing() {
+                return;
+            }
+            sleep(WRITER_WAIT);
+        }
+    }
+
     /// Half-closes the connection once everything queued is written. Its input is still read for a while, see
     /// [`Outbox::linger`].
     pub fn close(&self) {
--- a/wrenseam/src/net/writer.rs
+++ b/wrenseam/src/net/writer.rs
@@ -1,4 +1,5 @@
 //! The coroutine that writes the responses of one client connection.
+use super::fairness::WriteFairness;
 use super::{messages, sleep, ErrorAction, SystemCalls};
 use crate::limits::Limits;
 use crate::memory_budget::MemoryReservation;
@@ -78,6 +79,18 @@
     }
 }
 
+/// The next command; `None` if no more can come. Waits if there is none yet.
+fn next_command(
+    queue: &Receiver<WriteCommand>,
+    fairness: &mut WriteFairness,
+) -> Option<WriteCommand> {
+    if let Ok(command) = queue.try_recv() {
+        return Some(command);
+    }
+    fairness.record_wait();
+    queue.recv().ok()
+}
+
 /// Writes what is queued for one connection until it is closed.
 pub(super) struct ConnectionWriter<'a> {
     stream: &'a TcpStream,
@@ -121,12 +134,14 @@
 
     /// Writes what is queued until a command closes the connection. Returns which directions to shut down.
     fn write_queued(&mut self, queue: &Receiver<WriteCommand>) -> Shutdown {
-        while let Ok(command) = queue.recv() {
+        let mut fairness = WriteFairness::default();
+        while let Some(command) = next_command(queue, &mut fairness) {
             match command {
                 WriteCommand::Write { bytes, reserved } => {
                     self.write_all(&bytes);
                     self.unsent.subtract(queued_size(&bytes));
                     drop(reserved);
+                    fairness.record_write();
                 }
                 WriteCommand::HalfClose => return Shutdown::Write,
                 WriteCommand::Close => return Shutdown::Both,
--- a/wrenseam/tests/leaving.rs
+++ b/wrenseam/tests/leaving.rs
@@ -3,11 +3,13 @@
 //! connection itself can notice it.
 mod common;
 
-use common::{fastcgi_record, request_bytes, Harness, InProcessFront, Protocol};
+use common::{
+    connect, fastcgi_record, fastcgi_request, request_bytes, Harness, InProcessFront, Protocol,
+};
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
 use std::time::{Duration, Instant};
 use wrenseam::limits::Limits;
@@ -23,6 +25,11 @@
 /// How long its client waits, in ms.
 const WAIT_MS: u32 = 20_000;
 
+/// Requests in each write of a client that sends without pause.
+const REQUESTS_AT_ONCE: usize = 400;
+/// By when this many bytes of answers have come, such a client is at full speed.
+const MANY_ANSWERED_BYTES: usize = 100_000;
+
 /// Lets one test at a time block the scheduler's only thread, which all tests share.
 static SCHEDULER_LOCK: Mutex<()> = Mutex::new(());
 
@@ -308,3 +315,39 @@
     let send = "client send tile-render - x 4000\nworker expect tile-render - x\nworker silence\nclient close\nwait 700\nworker expect nothing";
     harness.run_scenario(front, send);
 }
+
+/// A client that sends requests which the front answers itself, without pause, and reads the responses must not delay
+/// others: its reader and its writer took turns, and no other socket was looked at.
+#[rstest]
+fn a_client_with_unending_answers_delays_no_others(
+    #[values(Platform, V2)] front: Protocol,
+    #[values(Platform, V2)] other: Protocol,
+) {
+    let served = "client send tile-render - x 1500\nworker expect tile-render - x\nworker send ok DONE\nclient expect served DONE\n";
+    let harness = Harness::new(Platform);
+    let (address, request) = match front {
+        Platform => (harness.fastcgi_front, fastcgi_request(1, &[], b"")),
+        V2 => {
+            let request = b"GET /v2/health/live HTTP/1.1\r\nHost: t\r\n\r\n";
+            (harness.kserve_front, request.to_vec())
+        }
+    };
+    let mut reader = connect(address);
+    let mut writer = reader.try_clone().expect("cloned");
+    let requests = request.repeat(REQUESTS_AT_ONCE);
+    std::thread::spawn(move || while writer.write_all(&requests).is_ok() {});
+    let answered = Arc::new(AtomicUsize::new(0));
+    let count = answered.clone();
+    std::thread::spawn(move || {
+        let mut bytes = [0; 65_536];
+        while let Ok(read @ 1..) = reader.read(&mut bytes) {
+            count.fetch_add(read, Ordering::AcqRel);
+        }
+    });
+    let since = Instant::now();
+    while answered.load(Ordering::Acquire) < MANY_ANSWERED_BYTES {
+        assert!(since.elapsed() < Duration::from_secs(20), "not answered");
+        std::thread::yield_now();
+    }
+    harness.run_scenario(other, &served.repeat(20));
+}
