Drain: a connection whose client always has a next request closes between two of them

Cause: close_idle did not close while a response was unsent. The reader looks right after it has handled what it read, so on a connection in use there always was one, just queued: it stayed open, and its requests were rejected until the end. Change: close_idle lets the writer run, then checks; if something is still unsent the half-close is queued behind it, as before. The v2 reader looks every 0.25 s, after the requests it has read.

--- a/wrenseam/src/front/kserve/connection.rs
+++ b/wrenseam/src/front/kserve/connection.rs
@@ -11,6 +11,7 @@
 use crate::net::SlotGuard;
 use may::net::TcpStream;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// The interim response for which a client waits before it sends its body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -63,6 +64,7 @@
     fn run(&mut self, reader: &mut ConnectionReader) -> Result<(), ConnectionError> {
         let limits = &self.context.limits;
         let mut decoder = RequestDecoder::new(self.context.partial_request_budget.clone());
+        let mut checked_at = Instant::now();
         loop {
             if reader.receive(decoder.is_between_requests())? == Flow::Ended {
                 return Ok(());
@@ -72,10 +74,6 @@
                 self.respond_last(reader, &HttpError::Timeout);
                 return Err(ConnectionError::RequestTimeout);
             }
-            let is_idle = decoder.is_between_requests() && reader.ring.is_empty();
-            if is_idle && reader.check_idle_timeout() == Flow::Ended {
-                return Ok(());
-            }
             while let Some(decoded) = self.decode(&mut decoder, reader)? {
                 if self.handle(decoded)? == Flow::Ended {
                     // No further request is read. Input is still read, only to notice that the client disconnects.
@@ -83,6 +81,14 @@
                     return Ok(());
                 }
             }
+            // After the requests, as a connection in use has some in almost every read.
+            if checked_at.elapsed() >= limits.client_check_interval {
+                checked_at = Instant::now();
+                let is_idle = decoder.is_between_requests() && reader.ring.is_empty();
+                if is_idle && reader.check_idle_timeout() == Flow::Ended {
+                    return Ok(());
+                }
+            }
             reader.yield_if_full_speed();
         }
     }
--- a/wrenseam/src/net/outbox.rs
+++ b/wrenseam/src/net/outbox.rs
@@ -242,19 +242,27 @@
         true
     }
 
-    /// Closes the connection, on which no request is open, unless it has unread input or unsent responses. With `linger`,
-    /// or if responses are not delivered yet, only the sending side is closed. Returns whether it is closed.
+    /// Closes the connection, on which no request is open, unless it has unread input. With `linger`, or if responses are
+    /// not delivered yet, only the sending side is closed. Returns whether it is closed. Called by the connection's
+    /// reader.
     ///
-    /// The shutdown comes right after the check: the writer might run only after other coroutines, and a request that
-    /// arrived meanwhile would be closed on.
+    /// The shutdown comes right after the check, unless responses are still unsent: the writer might run only after other
+    /// coroutines, and a request that arrived meanwhile would be closed on.
     pub fn close_idle(&self, linger: bool) -> bool {
+        if self.unsent.any_on_connection() {
+            may::coroutine::yield_now(); // most writers write as soon as they run
+        }
         let Some(socket) = self.socket.upgrade() else {
             return true;
         };
         let linger = linger || self.has_undelivered();
-        if self.unsent.any_on_connection() || self.has_unread_input() {
+        if self.has_unread_input() {
             return false;
         }
+        if self.unsent.any_on_connection() {
+            self.close();
+            return true;
+        }
         let direction = if linger {
             Shutdown::Write
         } else {
--- a/wrenseam/tests/unread_responses.rs
+++ b/wrenseam/tests/unread_responses.rs
@@ -35,6 +35,8 @@
 const READ_PAUSE: Duration = Duration::from_millis(5);
 /// How long the clients of requests wait, in ms.
 const WAIT_MS: u32 = 20_000;
+/// Time after which a front end that drains holds no connection in use, less that in which it still serves requests.
+const DRAIN_TIME: Duration = Duration::from_secs(3);
 /// No test takes longer.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -272,6 +274,25 @@
     );
 }
 
+/// Guards against a drain that never ends on a connection whose client sends its next request as soon as it has an
+/// answer: whenever the front end looked, it had just queued a response.
+#[rstest]
+fn a_drain_ends_although_rejected_requests_come_again(#[values(Platform, V2)] protocol: Protocol) {
+    let (_scheduler, mut front) = start(protocol, |limits| limits.drain_serve_time = READ_PAUSE);
+    assert!(front.context.process_state.start_drain());
+    std::thread::sleep(2 * READ_PAUSE);
+    let since = Instant::now();
+    loop {
+        let sent = front.client.write_all(&request_bytes(protocol, 1, WAIT_MS));
+        let mut answer = [0; 4_096];
+        if sent.is_err() || matches!(front.client.read(&mut answer), Ok(0) | Err(_)) {
+            break;
+        }
+        assert!(since.elapsed() < DRAIN_TIME, "the connection is still open");
+        std::thread::sleep(READ_PAUSE);
+    }
+}
+
 /// Guards against a pending request that is never answered because what follows it on its connection is not a complete
 /// request: v2 responses come in the order of the requests.
 #[rstest]
