--- a/wrenseam/tests/closing.rs
+++ b/wrenseam/tests/closing.rs
@@ -14,7 +14,7 @@
 use wrenseam::front::{close, Listener, ListenerContext};
 use wrenseam::limits::Limits;
 use wrenseam::net::SlotGuard;
-use wrenseam::queue::CoreHandle;
+use wrenseam::queue::{CoreHandle, Message};
 
 /// FastCGI record type of a question for variables.
 const GET_VALUES: u8 = 9;
@@ -165,5 +165,11 @@
         .client
         .write_all(&request_bytes(Protocol::Platform, 1, 1_000))
         .expect("written");
-    front.next_request();
+    assert!(
+        matches!(
+            front.inbox.recv_timeout(Duration::from_secs(5)),
+            Ok(Message::Request { .. })
+        ),
+        "the request did not reach the core"
+    );
 }
