--- a/wrenseam/src/front/fastcgi/decoder.rs
+++ b/wrenseam/src/front/fastcgi/decoder.rs
@@ -100,23 +100,13 @@
                     }
                 }
                 State::Content { header, padding } => {
-                    ring.take(header.content_length - self.bytes.len(), &mut self.bytes);
-                    if self.bytes.len() < header.content_length {
-                        return Ok(None);
-                    }
-                    self.state = State::Padding { remaining: padding };
-                    self.is_returned = true;
-                    return Ok(Some(Decoded::Record(Record {
-                        record_type: header.record_type,
-                        request_id: header.request_id,
-                        content: &self.bytes,
-                    })));
+                    return Ok(self.read_content(ring, header, padding));
                 }
+                State::Discarded {
+                    remaining: 0,
+                    padding,
+                } => self.state = State::Padding { remaining: padding },
                 State::Discarded { remaining, padding } => {
-                    if remaining == 0 {
-                        self.state = State::Padding { remaining: padding };
-                        continue;
-                    }
                     let count = drop_bytes(ring, remaining);
                     self.state = State::Discarded {
                         remaining: remaining - count,
@@ -124,20 +114,40 @@
                     };
                     return Ok((count > 0).then_some(Decoded::Discarded(count)));
                 }
+                State::Padding { remaining: 0 } => self.state = State::Header,
                 State::Padding { remaining } => {
                     let count = drop_bytes(ring, remaining);
-                    if count < remaining {
-                        self.state = State::Padding {
-                            remaining: remaining - count,
-                        };
+                    self.state = State::Padding {
+                        remaining: remaining - count,
+                    };
+                    if count == 0 {
                         return Ok(None);
                     }
-                    self.state = State::Header;
                 }
             }
         }
     }
 
+    /// Reads stored content. Returns the record once it is complete.
+    fn read_content(
+        &mut self,
+        ring: &mut Ring,
+        header: RecordHeader,
+        padding: usize,
+    ) -> Option<Decoded<'_>> {
+        ring.take(header.content_length - self.bytes.len(), &mut self.bytes);
+        if self.bytes.len() < header.content_length {
+            return None;
+        }
+        self.state = State::Padding { remaining: padding };
+        self.is_returned = true;
+        Some(Decoded::Record(Record {
+            record_type: header.record_type,
+            request_id: header.request_id,
+            content: &self.bytes,
+        }))
+    }
+
     /// Gives back what the record took that was returned last.
     fn release_returned(&mut self) {
         if !self.is_returned {
--- a/wrenseam/tests/rejected_requests.rs
+++ b/wrenseam/tests/rejected_requests.rs
@@ -219,3 +219,30 @@
     let (_, refused) = received.split_once("HTTP/1.1 503").expect("a refusal");
     assert!(refused.contains("Retry-After: "), "{refused}");
 }
+
+/// Padding belongs to no record's content, also where it comes in pieces, and behind discarded content.
+#[rstest]
+fn padded_records_are_read(#[values(1, 5, 4_096)] piece_bytes: usize) {
+    let mut front = InProcessFront::start(Protocol::Platform, |_| {});
+    let mut input = padded(&fastcgi_record(STDIN, 9, b"of no request"));
+    let mut request = &whole(1)[..];
+    while !request.is_empty() {
+        let content = usize::from(u16::from_be_bytes([request[4], request[5]]));
+        let (record, rest) = request.split_at(8 + content);
+        input.extend(padded(record));
+        request = rest;
+    }
+    for piece in input.chunks(piece_bytes) {
+        send(&mut front, piece);
+    }
+    serve(&front.next_request());
+    assert_eq!(read_status(&mut front), "Status: 200 OK");
+}
+
+/// The record with padding.
+fn padded(record: &[u8]) -> Vec<u8> {
+    const PADDING: [u8; 7] = [0xff; 7];
+    let mut padded = [record, &PADDING].concat();
+    padded[6] = PADDING.len() as u8;
+    padded
+}
