Tests: front ends choose their own ports, as a released port may still be in use

The test bound a port, closed it and gave its number to the front end. A process that another thread starts at that moment has a copy of the listener until it replaces its program, so the front end's bind fails. The panic did not show the front end's own line; it does now: "start: admin 127.71.68.175:42279: Address already in use (os error 98)". Change: front ends are started on port 0 and the test reads both addresses from the log. A restart uses them again: only the former process has listened there.

--- a/wrenseam/tests/common/program.rs
+++ b/wrenseam/tests/common/program.rs
@@ -77,18 +77,19 @@
         }
     }
 
-    /// Reads the log up to the next start line that reports a listening address, and returns that address.
+    /// Reads the log up to the next start line that reports a listening address, and returns that address. If the log
+    /// ends before, the panic message has the lines that were read.
     pub(crate) fn next_listen_address(&mut self) -> SocketAddr {
         let log = self.log.as_mut().expect("the log is not forwarded yet");
-        loop {
-            let line = log
-                .next()
-                .expect("the log has not ended")
-                .expect("UTF-8 text");
+        let mut other_lines = Vec::new();
+        for line in log {
+            let line = line.expect("UTF-8 text");
             if let Some((_, address)) = line.split_once(" listens on ") {
                 return address.parse().expect("a socket address");
             }
+            other_lines.push(line);
         }
+        panic!("the log ended after {other_lines:?}");
     }
 
     /// Copies the rest of the log to the test's output, each line prefixed with `label`. The pipe is read all the time,
--- a/wrenseam/tests/platform/front_end.rs
+++ b/wrenseam/tests/platform/front_end.rs
@@ -2,7 +2,7 @@
 use super::program::{admin_command, create_run_folder, write_file, Program};
 use super::{unique_loopback_address, Deployment, EventLog};
 use std::ffi::OsStr;
-use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -33,6 +33,13 @@
     pub(crate) limits: ProcessLimits,
 }
 
+/// Addresses of a front end. The process chooses ports that are 0.
+#[derive(Clone, Copy)]
+struct ListenAddresses {
+    clients: SocketAddr,
+    admin: SocketAddr,
+}
+
 /// A front end that keeps its name and addresses over restarts.
 pub(crate) struct FrontEnd {
     settings: FrontEndSettings,
@@ -46,22 +53,30 @@
 }
 
 impl FrontEnd {
-    /// Starts the process. Its configuration holds the events so far and the discovery service's address.
+    /// Starts the process. Its configuration holds the events so far and the discovery service's address. The process
+    /// chooses its ports itself: a port that the test binds and gives back stays in use while a process that another
+    /// thread starts at that time has not closed its inherited descriptors.
     pub(crate) fn start(
         settings: FrontEndSettings,
         log: &EventLog,
         discovery: SocketAddr,
     ) -> FrontEnd {
         let folder = create_run_folder("platform-");
-        let ip = unique_loopback_address();
-        let [address, admin_address] = free_addresses(ip);
+        let any_port = SocketAddr::new(unique_loopback_address(), 0);
         write_config(&settings, &folder, log, discovery, 0);
-        let program = launch(&settings, &folder, address, admin_address);
+        let (program, listen_addresses) = launch(
+            &settings,
+            &folder,
+            ListenAddresses {
+                clients: any_port,
+                admin: any_port,
+            },
+        );
         FrontEnd {
             settings,
             folder,
-            address,
-            admin_address,
+            address: listen_addresses.clients,
+            admin_address: listen_addresses.admin,
             program,
             start_count: 1,
         }
@@ -74,7 +89,11 @@
         } = self;
         write_config(settings, folder, log, discovery, self.start_count);
         self.start_count += 1;
-        self.program = launch(settings, folder, self.address, self.admin_address);
+        let same_addresses = ListenAddresses {
+            clients: self.address,
+            admin: self.admin_address,
+        };
+        (self.program, _) = launch(settings, folder, same_addresses);
     }
 
     /// Writes a configuration with another address of the discovery service and has the process reload it.
@@ -152,15 +171,6 @@
     }
 }
 
-/// Different free ports at an IP address. They stay free: the system gives them to no client, as nothing else uses this
-/// IP address. All are bound at the same time, as the system may otherwise give the same port again.
-fn free_addresses<const COUNT: usize>(ip: IpAddr) -> [SocketAddr; COUNT] {
-    let listeners = [(); COUNT].map(|()| TcpListener::bind((ip, 0)).expect("a port"));
-    listeners
-        .each_ref()
-        .map(|listener| listener.local_addr().expect("bound"))
-}
-
 /// Writes the configuration file. Its seed depends on the front end's index and on `start_count`, the number of
 /// processes started so far.
 fn write_config(
@@ -186,23 +196,26 @@
     write_file(folder.join("config.json"), &text);
 }
 
-/// Starts the program and waits until it listens for clients and for admin connections.
+/// Starts the program and waits until it listens for clients and for admin connections. Returns it with the addresses
+/// that it listens on, which differ from `listen_addresses` in ports that are 0 there.
 fn launch(
     settings: &FrontEndSettings,
     folder: &std::path::Path,
-    address: SocketAddr,
-    admin_address: SocketAddr,
-) -> Program {
-    let (address, admin_address) = (address.to_string(), admin_address.to_string());
+    listen_addresses: ListenAddresses,
+) -> (Program, ListenAddresses) {
+    let clients = listen_addresses.clients.to_string();
+    let admin = listen_addresses.admin.to_string();
     let environment = [
-        ("NODE_LISTEN", OsStr::new(&address)),
-        ("NODE_ADMIN", OsStr::new(&admin_address)),
+        ("NODE_LISTEN", OsStr::new(&clients)),
+        ("NODE_ADMIN", OsStr::new(&admin)),
     ];
     let descriptors = settings.limits.descriptors;
     let config = folder.join("config.json");
     let mut program = Program::start_limited(folder, &config, &environment, descriptors);
-    program.next_listen_address();
-    program.next_listen_address();
+    let listen_addresses = ListenAddresses {
+        clients: program.next_listen_address(),
+        admin: program.next_listen_address(),
+    };
     program.forward_log(format!("n{}", settings.index));
-    program
+    (program, listen_addresses)
 }
--- a/wrenseam/tests/platform/mod.rs
+++ b/wrenseam/tests/platform/mod.rs
@@ -69,6 +69,6 @@
         127,
         64 + (process >> 10) as u8 % 64,
         high,
-        low.max(1),
+        low,
     ))
 }
