Shutdown: a process without open requests exits before the platform may kill it

What callers saw: nothing; operators saw a process stay after SIGTERM, up to 10.6 s, if a client did not read its responses. A connection is kept until its client has taken its responses, for 5 s without progress and 10 s at the most, and close_connections waited for all connections. Change: once no request has been open for 0.1 s, the wait for deliveries ends 0.3 s before a kill is allowed. Why it works: what is in the system's send buffers is delivered after the exit; and a kill would end the same connections. Ruled out: a shorter time for all deliveries, as eviction, idle timeout and drain have no such limit.

--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -183,6 +183,11 @@
 /// Shortest shutdown timeout.
 const SHUTDOWN_TIMEOUT_MIN: Duration = Duration::from_secs(10);
 
+/// Longest client wait that counts for the time from SIGTERM until the platform may kill a stopping process.
+const COUNTED_WAIT_MAX: Duration = Duration::from_secs(3);
+/// Time by which a stopping process exits before the platform may kill it.
+const KILL_MARGIN: Duration = Duration::from_millis(300);
+
 /// Sizes, counts and times. Computed once; tests change single fields.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -292,6 +297,9 @@
     /// longest client wait of any class, so that every admitted request is answered. Requests that are open when
     /// something kills the process sooner are not counted as lost.
     pub shutdown_timeout: Duration,
+    /// Longest time that a stopping process without open requests waits, once its listeners are closed, for clients to
+    /// take their responses.
+    pub shutdown_delivery_timeout: Duration,
 
     /// Sizes and times of the connection to the discovery service.
     pub discovery: DiscoveryLimits,
@@ -350,6 +358,7 @@
             coroutine_stack_bytes: STACK_BYTES,
             listener_close_delay: LISTENER_CLOSE_DELAY,
             shutdown_timeout: shutdown_timeout(settings),
+            shutdown_delivery_timeout: shutdown_delivery_timeout(settings),
             discovery: DiscoveryLimits::new(process.memory_bytes, settings),
         }
     }
@@ -435,6 +444,16 @@
     SHUTDOWN_TIMEOUT_MIN.max(longest_wait + SHUTDOWN_MARGIN)
 }
 
+fn shutdown_delivery_timeout(settings: &Settings) -> Duration {
+    let longest_wait = match settings.longest_wait {
+        0 => COUNTED_WAIT_MAX, // not stated
+        stated => Duration::from_micros(stated),
+    };
+    longest_wait
+        .min(COUNTED_WAIT_MAX)
+        .saturating_sub(KILL_MARGIN)
+}
+
 /// The time that the settings state, or the default if it is 0, which stands for "not stated".
 fn duration_or(stated: Micros, default_ms: u64) -> Duration {
     if stated > 0 {
--- a/wrenseam/src/shutdown.rs
+++ b/wrenseam/src/shutdown.rs
@@ -15,6 +15,8 @@
 
 /// How often a shutdown checks whether all connections have closed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Time in which the response of the last open request is written.
+const LAST_WRITE_TIME: Duration = Duration::from_millis(100);
 
 /// The signal handlers could not be registered.
 #[derive(Debug, thiserror::Error)]
@@ -111,20 +113,36 @@
     }
 }
 
-/// Waits until all connections have closed, or until the shutdown's time limit. Each connection closes itself: it reads
+/// Waits until all connections have closed, or until a time limit of the shutdown. Each connection closes itself: it reads
 /// unread input, completes or ends a half-read request, answers pending requests, writes queued responses, closes, and
 /// then frees its slot. When no slot is in use and no accept loop runs, nothing is left. No connection is missed
 /// between the two counts, as an accept loop acquires a connection's slot before it ends.
 fn close_connections(context: &ListenerContext) {
     context.shutting_down.store(true, Ordering::Release);
     let started_at = Instant::now();
+    let mut last_open_at = started_at;
     while remaining(context, started_at) > 0
         && started_at.elapsed() < context.limits.shutdown_timeout
+        && !is_delivery_given_up(context, started_at, last_open_at)
     {
         std::thread::sleep(CHECK_INTERVAL);
+        if context.process_state.open_requests.load(Ordering::Acquire) > 0 {
+            last_open_at = Instant::now();
+        }
     }
 }
 
+/// Whether all that remains are connections whose clients have not taken their responses in time. What is in the
+/// system's send buffers is delivered after the exit too.
+fn is_delivery_given_up(
+    context: &ListenerContext,
+    started_at: Instant,
+    last_open_at: Instant,
+) -> bool {
+    started_at.elapsed() >= context.limits.shutdown_delivery_timeout
+        && last_open_at.elapsed() >= LAST_WRITE_TIME
+}
+
 /// The number of connections, and of accept loops that may still hold one. An accept loop that its listener's close did
 /// not wake up holds no connection, so accept loops are counted only for the linger time after the shutdown began to
 /// close connections.
--- a/wrenseam/tests/program.rs
+++ b/wrenseam/tests/program.rs
@@ -6,7 +6,9 @@
     FUNCTION,
 };
 use rstest::rstest;
+use socket2::SockRef;
 use std::io::{Read, Write};
+use std::time::{Duration, Instant};
 
 type Params = Vec<(&'static str, &'static str)>;
 
@@ -222,3 +224,26 @@
         .head;
     assert!(head.starts_with("Status: 200"), "{head}");
 }
+
+/// Guards against an exit that waits for clients that do not read their responses: the platform may kill the process
+/// 3.7 s after SIGTERM, the longest wait that it counts and 0.7 s more.
+#[test]
+fn a_process_exits_in_time_although_a_client_does_not_read_its_responses() {
+    const GET_VALUES: u8 = 9;
+    const QUESTIONS: usize = 6;
+    const EXIT_TIME: Duration = Duration::from_millis(3_700);
+    let mut harness = Harness::new(Protocol::Platform);
+    let mut client = connect(harness.fastcgi_front);
+    SockRef::from(&client)
+        .set_recv_buffer_size(4_096)
+        .expect("set");
+    let question = fastcgi_record(GET_VALUES, 0, &b"\x0e\0FCGI_MAX_CONNS".repeat(3_000));
+    client
+        .write_all(&question.repeat(QUESTIONS))
+        .expect("written");
+    client.peek(&mut [0]).expect("a response");
+    let terminated_at = Instant::now();
+    assert!(harness.terminate());
+    let exit_time = terminated_at.elapsed();
+    assert!(exit_time < EXIT_TIME, "exits after {exit_time:?}");
+}
