--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -176,9 +176,10 @@
 
 class Board:
     def __init__(self, record):
-        self.record, self.events, self.waiting, self.port, self.writers = record, [], [], 0, set()
+        self.record, self.events, self.happened_at, self.port, self.writers = record, [], [], 0, set()
         self.server = None
-        self.slow_by = 0.0  # how long a new request waits for the events that it lacks; comments come meanwhile
+        # How long an event takes to reach a watch, from when it happened or was asked for; comments come all the while.
+        self.slow_by = 0.0
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
@@ -189,11 +190,8 @@
         number = len(self.events) + 1
         pool = {"generation": number, "reset": number == 1, "instances": entries}
         self.events.append(json.dumps({"rev": number, "pool": pool}, separators=(",", ":")))
+        self.happened_at.append(time.time())
         self.record.say(f"board has event {number}: " + ", ".join(f"{e['instanceId']} {e['lifecycle']}" for e in entries))
-        for waiter in self.waiting:
-            if not waiter.done():
-                waiter.set_result(None)
-        self.waiting = []
 
     def known(self):
         return {"rev": len(self.events), "notices": [json.loads(event) for event in self.events]}
@@ -216,24 +214,19 @@
             last = re.search(r"last-event-id:\s*(\d+)", head, re.I)
             told = int(last.group(1)) if last else 0
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
-            began, slow_by = time.monotonic(), self.slow_by if told < len(self.events) else 0.0
+            asked_at = commented_at = time.time()
             self.record.say(f"board is asked for what follows event {told}")
-            while (left := began + slow_by - time.monotonic()) > 0:
-                await asyncio.sleep(min(left, 1))
-                if left > 1:
-                    writer.write(b": \n\n")
             while not writer.is_closing():
-                while told < len(self.events):
+                now = time.time()
+                while told < len(self.events) and now >= max(asked_at, self.happened_at[told]) + self.slow_by:
                     told += 1
                     self.record.say(f"board writes event {told}")
                     writer.write(f"id: {told}\ndata: {self.events[told - 1]}\n\n".encode())
-                await writer.drain()
-                waiter = asyncio.get_running_loop().create_future()
-                self.waiting.append(waiter)
-                try:
-                    await asyncio.wait_for(waiter, 1)
-                except asyncio.TimeoutError:
+                if now >= commented_at + 1:
+                    commented_at = now
                     writer.write(b": \n\n")
+                await writer.drain()
+                await asyncio.sleep(0.01)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
