Responses: no limit ends a connection under open requests; long answers share the budget

Cause: Outbox::queue dropped a response and closed the connection once over 1 MiB would be unsent on it, or once the budget of all connections was used up. Ruled out: the budget (48 MiB) and the client, which reads at once.

Change: answers of one connection may hold twice what is free of the budget; each accepted request keeps 512 bytes, so an answer without room is a failure in full, not silence; requests behind 1 MiB of unread answers are rejected with advice; a sixteenth of the budget is for the front's own responses, too many of which close the connection behind its open requests. Related: a 33rd v2 request ended the 32 before it; v2 answers that wait for earlier ones were in no budget; /v1/state over 1 MiB.

--- a/wrenseam/src/front/connection.rs
+++ b/wrenseam/src/front/connection.rs
@@ -101,6 +101,12 @@
         self.close_if(close);
     }
 
+    /// Whether the client leaves so many responses unread that its requests are to be rejected. Waits a little for a
+    /// client that is catching up.
+    pub(super) fn has_response_backlog(&self) -> bool {
+        self.out.has_backlog(WRITER_WAIT)
+    }
+
     /// With `close`, half-closes the connection once all queued responses are written.
     pub(super) fn close_if(&self, close: bool) {
         if close {
@@ -275,15 +281,32 @@
         receive(&mut self.ring, self.stream)
     }
 
-    /// Discards input until the client disconnects, a read fails or the connection is half-closed. What is beyond
-    /// `Limits::max_discarded_bytes` stays unread.
+    /// Whether no further input is to be handled: see [`Outbox::is_input_refused`].
+    pub(super) fn is_input_refused(&self) -> bool {
+        self.channel.out.is_input_refused()
+    }
+
+    /// Half-closes the connection once its open requests are answered. Input is discarded until then.
+    pub(super) fn close_after_answers(&mut self) {
+        let slot = self.channel.slot.clone();
+        self.discard_while(|| !slot.is_idle());
+        self.channel.out.close();
+    }
+
+    /// Discards input until the client disconnects, a read fails or the connection is half-closed.
     pub(super) fn discard_until_closed(&mut self) {
+        self.discard_while(|| true);
+    }
+
+    /// Like [`ConnectionReader::discard_until_closed`], as long as `is_waiting` is true. What is beyond
+    /// `Limits::max_discarded_bytes` stays unread.
+    fn discard_while(&mut self, is_waiting: impl Fn() -> bool) {
         let limits = &self.context.limits;
         // Nothing of it is handled any more, so no request is kept waiting for it.
         let input = self.channel.out.input();
         input.finish(Instant::now(), || 0);
         let mut discarded = 0;
-        while !self.is_closing() {
+        while !self.is_closing() && is_waiting() {
             discarded += self.ring.len();
             self.ring.truncate(0);
             if discarded > limits.max_discarded_bytes {
--- a/wrenseam/src/front/fastcgi/answers.rs
+++ b/wrenseam/src/front/fastcgi/answers.rs
@@ -1,6 +1,7 @@
 //! Responses to FastCGI requests, and the open requests that wait for one.
 use super::records::response;
 use crate::front::connection::{ConnectionClient, ResponseChannel};
+use crate::memory_budget::MemoryReservation;
 use crate::model::{Answer, Client, RequestTrace};
 use may::sync::Mutex;
 use std::collections::HashMap;
@@ -58,6 +59,8 @@
     pub(super) close: bool,
     /// Set when the client cancels the request or disconnects: an attempt that has not started by then is not sent.
     pub(super) client_gone: Arc<AtomicBool>,
+    /// The memory that it keeps for a short response.
+    pub(super) response_memory: MemoryReservation,
     /// What its response is traced by.
     pub(super) trace: RequestTrace,
 }
@@ -90,8 +93,11 @@
         };
         let was_valid = !matches!(answer, Answer::Failed);
         self.channel.slot.answer_request(was_valid, || {
-            let response = answer_response(tag as u16, &answer);
-            self.channel.out.send_answer(response, request.trace);
+            let response = |answer| answer_response(tag as u16, answer);
+            let failure = || response(&Answer::Failed);
+            let out = &self.channel.out;
+            let fitted = out.fit_answer(response(&answer), request.response_memory, failure);
+            out.send_answer(fitted, request.trace);
             self.channel.close_if(request.close);
         });
     }
--- a/wrenseam/src/front/fastcgi/connection.rs
+++ b/wrenseam/src/front/fastcgi/connection.rs
@@ -95,6 +95,10 @@
                         self.discard(bytes)?;
                     }
                 }
+                if reader.is_input_refused() {
+                    reader.close_after_answers();
+                    return Ok(());
+                }
             }
             if checked_at.elapsed() >= check_interval {
                 checked_at = Instant::now();
--- a/wrenseam/src/front/fastcgi/dispatch.rs
+++ b/wrenseam/src/front/fastcgi/dispatch.rs
@@ -4,6 +4,7 @@
 use super::partial::{EarlyRejection, PartialRequest};
 use super::request::Parameters;
 use crate::front::connection::ConnectionError;
+use crate::memory_budget::MemoryReservation;
 use crate::model::{Answer, Milestone, Request, RequestEnd};
 use std::sync::atomic::Ordering;
 use std::time::Instant;
@@ -37,11 +38,13 @@
             self.reject_unseen(request_id, &parameters, partial, retry_after);
             return Ok(());
         }
-        let Some(reserved_bytes) = self.request_budget.reserve(self.request_size(&partial)) else {
+        let Some(mut reserved_bytes) = self.request_budget.reserve(self.request_size(&partial))
+        else {
             let rejection = EarlyRejection::MemoryLimit;
             self.reject(request_id, rejection.into(), partial.close);
             return Ok(());
         };
+        let response_memory = reserved_bytes.split(self.context.limits.short_response_bytes);
         let request = parameters.to_request(partial.body, &self.context.limits);
         let request = request.map(|request| Request {
             received_at,
@@ -51,7 +54,7 @@
             ..request
         });
         match request {
-            Ok(request) => self.submit(request_id, request, partial.close),
+            Ok(request) => self.submit(request_id, request, response_memory, partial.close),
             Err(error) => {
                 self.reject(request_id, error.into(), partial.close);
                 Ok(())
@@ -59,9 +62,11 @@
         }
     }
 
-    /// The memory that a complete request takes.
+    /// The memory that a complete request takes, with what it keeps for a short response.
     fn request_size(&self, partial: &PartialRequest) -> usize {
-        self.context.limits.request_record_bytes + partial.params.len() + partial.body.len()
+        let limits = &self.context.limits;
+        let records = limits.request_record_bytes + limits.short_response_bytes;
+        records + partial.params.len() + partial.body.len()
     }
 
     fn report_health(&self, request_id: u16, close: bool) {
@@ -75,7 +80,8 @@
     }
 
     /// The retry advice if requests are rejected before the core sees them. A process that drains or is about to exit does
-    /// so, as another process accepts the retry, and so does a connection whose client sends more than is taken.
+    /// so, as another process accepts the retry, and so does a connection whose client sends more than is taken or reads
+    /// less than it is sent.
     fn rejection_advice(&self, now: Instant) -> Option<Micros> {
         let process_state = &self.context.process_state;
         if process_state.rejects_requests(&self.context.limits) {
@@ -87,7 +93,8 @@
             });
         }
         let is_far_behind = self.client.channel.out.input().is_far_behind(now);
-        is_far_behind.then_some(BACKLOG_RETRY_AFTER)
+        let has_backlog = is_far_behind || self.client.channel.has_response_backlog();
+        has_backlog.then_some(BACKLOG_RETRY_AFTER)
     }
 
     /// Rejects a request that the core has not seen.
@@ -114,6 +121,7 @@
         &mut self,
         request_id: u16,
         request: Request,
+        response_memory: MemoryReservation,
         close: bool,
     ) -> Result<(), ConnectionError> {
         if !self.client.channel.slot.begin_request() {
@@ -125,6 +133,7 @@
                 sequence_number: self.submitted,
                 close,
                 client_gone: request.client_gone.clone(),
+                response_memory,
                 trace: request.trace(),
             };
             open_requests.insert(request_id, open_request);
--- a/wrenseam/src/front/kserve/answers.rs
+++ b/wrenseam/src/front/kserve/answers.rs
@@ -1,7 +1,9 @@
 //! Responses to HTTP requests, which are sent in the order of the requests.
 use crate::front::connection::{ConnectionClient, ConnectionError, ResponseChannel};
 use crate::http::{response, Status};
+use crate::memory_budget::MemoryReservation;
 use crate::model::{Answer, Client, Payload, Request, RequestTrace};
+use crate::net::Response;
 use crate::worker::kserve::wrap_response;
 use may::sync::Mutex;
 use miniserde::json::{self, Object, Value};
@@ -69,11 +71,27 @@
     /// Whether the connection closes after the response.
     close: bool,
     /// The response; `None` until it is known.
-    bytes: Option<Vec<u8>>,
+    response: Option<KnownResponse>,
+    /// What is kept of the request; `None` if the core does not answer it.
+    request: Option<OpenRequest>,
+}
+
+/// A response that waits for those before it.
+enum KnownResponse {
+    /// The response to a request that the core answered.
+    Answer(Response, RequestTrace),
+    /// A response that the front made itself.
+    Direct(Vec<u8>),
+}
+
+/// A request that was passed to the core.
+struct OpenRequest {
     /// Set when the client disconnects: an attempt that has not started by then is not sent.
     client_gone: Arc<AtomicBool>,
-    /// What the response is traced by; `None` if the core does not answer the request.
-    trace: Option<RequestTrace>,
+    /// The memory that it keeps for a short response.
+    response_memory: MemoryReservation,
+    /// What its response is traced by.
+    trace: RequestTrace,
 }
 
 /// The client of an HTTP connection, which receives the core's answers.
@@ -106,43 +124,76 @@
         pending.push_back(PendingResponse {
             tag,
             close,
-            bytes: None,
-            client_gone: Arc::default(),
-            trace: None,
+            response: None,
+            request: None,
         });
         Ok(())
     }
 
     /// Stores what the response to a request needs that is passed to the core.
-    pub(super) fn attach_request(&self, tag: u64, request: &Request) {
+    pub(super) fn attach_request(
+        &self,
+        tag: u64,
+        request: &Request,
+        response_memory: MemoryReservation,
+    ) {
         let Ok(mut pending) = self.pending.lock() else {
             return;
         };
         if let Some(response) = pending.iter_mut().find(|response| response.tag == tag) {
-            response.client_gone = request.client_gone.clone();
-            response.trace = Some(request.trace());
+            response.request = Some(OpenRequest {
+                client_gone: request.client_gone.clone(),
+                response_memory,
+                trace: request.trace(),
+            });
         }
     }
 
-    /// Stores the response to a request, then sends the pending responses up to the first one that is not known yet.
-    /// `bytes` gets whether the connection closes after the response.
+    /// Stores a response that the front makes itself, then sends what is due. `bytes` gets whether the connection closes
+    /// after the response.
     pub(super) fn respond(&self, tag: u64, bytes: impl FnOnce(bool) -> Vec<u8>) {
+        self.store_and_send(tag, |pending| {
+            Some(KnownResponse::Direct(bytes(pending.close)))
+        });
+    }
+
+    /// The response for an answer of the core, as far as there is memory for it; `None` if the request was not passed to
+    /// the core.
+    fn fit_answer(&self, pending: &mut PendingResponse, answer: Answer) -> Option<KnownResponse> {
+        let request = pending.request.take()?;
+        let close = pending.close;
+        let response = self.channel.out.fit_answer(
+            answer_response(answer, close),
+            request.response_memory,
+            || answer_response(Answer::Failed, close),
+        );
+        Some(KnownResponse::Answer(response, request.trace))
+    }
+
+    /// Stores the response to a request, then sends the pending responses up to the first one that is not known yet.
+    fn store_and_send(
+        &self,
+        tag: u64,
+        known_response: impl FnOnce(&mut PendingResponse) -> Option<KnownResponse>,
+    ) {
         let Ok(mut pending) = self.pending.lock() else {
             return;
         };
         let response = pending
             .iter_mut()
-            .find(|response| response.tag == tag && response.bytes.is_none());
+            .find(|response| response.tag == tag && response.response.is_none());
         if let Some(response) = response {
-            response.bytes = Some(bytes(response.close));
+            response.response = known_response(response);
         }
-        while let Some(bytes) = pending.front_mut().and_then(|first| first.bytes.take()) {
+        while let Some(response) = pending.front_mut().and_then(|first| first.response.take()) {
             let Some(first) = pending.pop_front() else {
                 return;
             };
-            match first.trace {
-                Some(trace) => self.channel.out.send_answer(bytes, trace),
-                None => self.channel.out.send(bytes),
+            match response {
+                KnownResponse::Answer(response, trace) => {
+                    self.channel.out.send_answer(response, trace);
+                }
+                KnownResponse::Direct(bytes) => self.channel.out.send(bytes),
             }
             self.channel.close_if(first.close);
         }
@@ -153,7 +204,7 @@
     fn answer(&self, tag: u64, answer: Answer) {
         let was_valid = !matches!(answer, Answer::Failed);
         self.channel.slot.answer_request(was_valid, || {
-            self.respond(tag, |close| answer_response(answer, close));
+            self.store_and_send(tag, |pending| self.fit_answer(pending, answer));
         });
     }
 
@@ -169,8 +220,11 @@
 
     fn mark_disconnected(&self) {
         if let Ok(pending) = self.pending.lock() {
-            for response in pending.iter() {
-                response.client_gone.store(true, Ordering::Release);
+            for request in pending
+                .iter()
+                .filter_map(|response| response.request.as_ref())
+            {
+                request.client_gone.store(true, Ordering::Release);
             }
         }
     }
--- a/wrenseam/src/front/kserve/connection.rs
+++ b/wrenseam/src/front/kserve/connection.rs
@@ -88,10 +88,16 @@
             while let Some(decoded) = self.decode(&mut decoder, reader)? {
                 reader.take_turn(HTTP_REQUEST_UNITS);
                 let submitted = self.submitted;
-                let flow = self.handle(decoded)?;
+                let flow = self
+                    .handle(decoded)
+                    .inspect_err(|error| self.reject_excess_request(reader, error))?;
                 if self.submitted > submitted {
                     reader.resume_work(); // it may have waited for the core
                 }
+                if reader.is_input_refused() {
+                    reader.close_after_answers();
+                    return Ok(());
+                }
                 if flow == Flow::Ended {
                     // No further request is read. Input is still read, only to notice that the client disconnects.
                     reader.discard_until_closed();
@@ -135,6 +141,14 @@
         }
     }
 
+    /// Rejects a request for which no response can be added to the pending ones, which are sent before the connection
+    /// closes.
+    fn reject_excess_request(&self, reader: &mut ConnectionReader, error: &ConnectionError) {
+        if matches!(error, ConnectionError::TooManyRequests(_)) {
+            self.respond_last(reader, &HttpError::TooManyRequests);
+        }
+    }
+
     /// Sends the response to a request that cannot be read, behind those to the requests before it. The connection closes
     /// after it, and input is discarded until then.
     fn respond_last(&self, reader: &mut ConnectionReader, error: &HttpError) {
--- a/wrenseam/src/front/kserve/decoder.rs
+++ b/wrenseam/src/front/kserve/decoder.rs
@@ -46,6 +46,9 @@
     /// The memory budget of requests that are not completely received is used up.
     #[error("too many bytes are held")]
     MemoryLimit,
+    /// More requests are open on the connection than may be.
+    #[error("too many requests are open")]
+    TooManyRequests,
 }
 
 impl HttpError {
@@ -56,7 +59,7 @@
             HttpError::ChunkedBody => Status::LengthRequired,
             HttpError::BodyTooLong => Status::ContentTooLarge,
             HttpError::Timeout => Status::RequestTimeout,
-            HttpError::MemoryLimit => Status::ServiceUnavailable,
+            HttpError::MemoryLimit | HttpError::TooManyRequests => Status::ServiceUnavailable,
         }
     }
 
--- a/wrenseam/src/front/kserve/routes.rs
+++ b/wrenseam/src/front/kserve/routes.rs
@@ -5,6 +5,7 @@
 use super::request::to_request;
 use crate::front::{messages, parse_hex_id};
 use crate::http::Status;
+use crate::memory_budget::MemoryReservation;
 use crate::model::{Milestone, Request, RequestEnd};
 use std::time::Instant;
 
@@ -103,8 +104,9 @@
 fn infer(connection: &HttpConnection, name: &str, body: Vec<u8>) -> Reply {
     let context = connection.context;
     let received_at = Instant::now();
-    let size = context.limits.request_record_bytes + body.len();
-    let Some(reserved_bytes) = context.request_budget.reserve(size) else {
+    let response_bytes = context.limits.short_response_bytes;
+    let size = context.limits.request_record_bytes + response_bytes + body.len();
+    let Some(mut reserved_bytes) = context.request_budget.reserve(size) else {
         log_limited!("{}", messages::v2_memory_limit());
         return Reply::error(Status::ServiceUnavailable, "too many bytes are held");
     };
@@ -122,13 +124,13 @@
             .answered_at_front(request.class, RequestEnd::Rejected);
         return Reply::error(Status::ServiceUnavailable, "the front end is ending");
     }
-    let input = connection.client.channel.out.input();
-    if input.is_far_behind(received_at) {
+    if let Some(reason) = backlog_reason(connection, received_at) {
         context
             .core
             .answered_at_front(request.class, RequestEnd::Rejected);
-        return Reply::error(Status::ServiceUnavailable, "more was sent than is taken");
+        return Reply::error(Status::ServiceUnavailable, reason);
     }
+    let response_memory = reserved_bytes.split(response_bytes);
     let request = Request {
         received_at,
         reserved_bytes: Some(reserved_bytes),
@@ -136,12 +138,27 @@
         timeline: connection.last_read.timeline(),
         ..request
     };
-    submit(connection, request)
+    submit(connection, request, response_memory)
 }
 
-fn submit(connection: &HttpConnection, request: Request) -> Reply {
+/// Why a request is rejected whose client sends more than is taken or reads less than it is sent; `None` if it does not.
+fn backlog_reason(connection: &HttpConnection, now: Instant) -> Option<&'static str> {
+    let channel = &connection.client.channel;
+    if channel.out.input().is_far_behind(now) {
+        return Some("more was sent than is taken");
+    }
+    channel
+        .has_response_backlog()
+        .then_some("too many responses are unread")
+}
+
+fn submit(
+    connection: &HttpConnection,
+    request: Request,
+    response_memory: MemoryReservation,
+) -> Reply {
     let client = &connection.client;
-    client.attach_request(connection.tag, &request);
+    client.attach_request(connection.tag, &request, response_memory);
     if !client.channel.slot.begin_request() {
         return Reply::Evicted;
     }
--- a/wrenseam/src/front/listener.rs
+++ b/wrenseam/src/front/listener.rs
@@ -61,8 +61,12 @@
         );
         ListenerContext {
             core,
-            partial_request_budget: budget.part(limits.max_partial_request_bytes),
-            request_budget: budget.part(limits.max_request_bytes),
+            partial_request_budget: budget.part_leaving(
+                limits.max_partial_request_bytes,
+                limits.direct_response_bytes(),
+            ),
+            request_budget: budget
+                .part_leaving(limits.max_request_bytes, limits.direct_response_bytes()),
             budget,
             slots: ConnectionSlots::new(
                 limits.max_client_connections,
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -50,6 +50,12 @@
 /// Divisor of the budget that gives the part that requests leave to unsent responses: what was accepted must be answered.
 const RESPONSES_DIVISOR: usize = 4;
 
+/// Divisor of the budget that gives the part that is left to responses which the front makes itself, such as rejections.
+const DIRECT_RESPONSES_DIVISOR: usize = 16;
+
+/// Memory that a request keeps for a response without a body: its head, and what queueing it takes.
+const SHORT_RESPONSE_BYTES: usize = 512;
+
 /// Maximum size of a request's body.
 const REQUEST_BODY_BYTES: usize = 16 * KIB;
 
@@ -62,9 +68,12 @@
 /// Maximum size of a ring buffer on connections that carry small messages.
 const SMALL_RING_BYTES: usize = 4 * KIB;
 
-/// Maximum size of one worker's response, and of all responses queued on one client connection.
+/// Maximum size of one worker's response.
 const RESPONSE_BYTES: usize = MIB;
 
+/// A client connection on which more responses are unsent is given no further requests to answer.
+const UNSENT_BYTES_MAX: usize = MIB;
+
 /// Time that a slow client has to send a request, from its first byte to its last.
 const REQUEST_READ_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -88,7 +97,7 @@
 /// not handled yet included. As many requests as may be open fit, each of the largest size, and the record that is being
 /// received.
 const CONNECTION_REQUEST_BYTES: usize = REQUESTS_PER_CONNECTION
-    * (REQUEST_RECORD_BYTES + HEAD_BYTES + REQUEST_BODY_BYTES)
+    * (REQUEST_RECORD_BYTES + SHORT_RESPONSE_BYTES + HEAD_BYTES + REQUEST_BODY_BYTES)
     + RECORD_CONTENT_BYTES;
 
 /// Maximum size of the content of a FastCGI record.
@@ -194,6 +203,8 @@
     // Requests, as the fronts check them.
     /// Memory that the records of a request take, besides its bytes.
     pub request_record_bytes: usize,
+    /// Memory that a request keeps for its response in case there is no room for a longer one, in bytes.
+    pub short_response_bytes: usize,
     /// Maximum size of a request's body, in bytes.
     pub max_body_bytes: usize,
     /// Maximum size of a request's parameters or headers and of a response's head, in bytes.
@@ -217,7 +228,8 @@
     pub max_client_connections: usize,
     /// Maximum number of open requests on one client connection.
     pub max_requests_per_connection: usize,
-    /// Maximum number of response bytes queued on one client connection.
+    /// Requests are rejected on a client connection on which more response bytes than this are unsent. Of responses that
+    /// the front made itself no more than this is queued: the connection closes once its open requests are answered.
     pub max_unsent_bytes: usize,
     /// Maximum size of the ring buffers of client connections and of connections to KServe v2 workers, in bytes.
     pub client_ring_bytes: usize,
@@ -312,6 +324,7 @@
         let memory_budget_bytes = process.memory_bytes / MEMORY_BUDGET_DIVISOR;
         Limits {
             request_record_bytes: REQUEST_RECORD_BYTES,
+            short_response_bytes: SHORT_RESPONSE_BYTES,
             max_body_bytes: REQUEST_BODY_BYTES,
             max_head_bytes: HEAD_BYTES,
             request_read_timeout: REQUEST_READ_TIMEOUT,
@@ -322,7 +335,7 @@
             max_replica_concurrency: REPLICA_CONCURRENCY_MAX,
             max_client_connections: max_client_connections(process.descriptors),
             max_requests_per_connection: REQUESTS_PER_CONNECTION,
-            max_unsent_bytes: RESPONSE_BYTES,
+            max_unsent_bytes: UNSENT_BYTES_MAX,
             client_ring_bytes: SMALL_RING_BYTES,
             first_request_timeout: FIRST_REQUEST_TIMEOUT,
             client_idle_timeout: CLIENT_IDLE_TIMEOUT,
@@ -363,6 +376,11 @@
         }
     }
 
+    /// Bytes of the memory budget that only responses may reserve which the front makes itself.
+    pub fn direct_response_bytes(&self) -> usize {
+        self.memory_budget_bytes / DIRECT_RESPONSES_DIVISOR
+    }
+
     /// The part of a request's timeout that is reserved for delivering its response: at most a quarter of the timeout.
     pub fn response_margin(&self, timeout: Micros) -> Micros {
         self.max_response_margin.min(timeout / 4)
--- a/wrenseam/src/net/messages.rs
+++ b/wrenseam/src/net/messages.rs
@@ -2,8 +2,18 @@
 //! about them.
 use std::fmt::{self, Display};
 
-/// A connection is closed because its client does not read its responses, or because the memory for unsent responses is
-/// used up. `bytes` is how much is unsent on it.
+/// A request failed although a worker served it: its client, or others, leave so many responses unread that there is no
+/// memory for this one of `bytes` bytes. `unsent` bytes are held for the connection's other responses.
+pub fn answer_not_kept(bytes: usize, unsent: usize) -> impl Display {
+    fmt::from_fn(move |f| {
+        write!(
+            f,
+            "client: request failed: no memory for a response of {bytes} bytes behind {unsent} unsent"
+        )
+    })
+}
+
+/// A connection is closed, once its open requests are answered, because its client does not read its responses. `bytes` is how much is unsent on it.
 pub fn responses_unread(bytes: usize) -> impl Display {
     fmt::from_fn(move |f| {
         write!(
--- a/wrenseam/src/net/mod.rs
+++ b/wrenseam/src/net/mod.rs
@@ -19,6 +19,7 @@
 pub use input_progress::InputProgress;
 pub use outbox::Outbox;
 pub use slots::{ConnectionSlot, ConnectionSlots, SlotGuard};
+pub use writer::Response;
 
 use std::io::{self, ErrorKind};
 use std::panic::{catch_unwind, AssertUnwindSafe};
--- a/wrenseam/src/net/outbox.rs
+++ b/wrenseam/src/net/outbox.rs
@@ -1,9 +1,9 @@
 //! The sending side of a client connection: any thread queues responses, and a coroutine writes them.
 use super::delivery::{has_peer_closed, unacknowledged_bytes, DeliveryProgress};
-use super::writer::{queued_size, ConnectionWriter, UnsentBytes, WriteCommand};
+use super::writer::{queued_size, ConnectionWriter, Response, UnsentBytes, WriteCommand};
 use super::{messages, sleep, spawn, would_block, DirectCalls, InputProgress, SystemCalls};
 use crate::limits::Limits;
-use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::{MemoryBudget, MemoryReservation};
 use crate::model::{ClientProbe, ClientState, Milestone, RequestTrace};
 use may::net::TcpStream;
 use may::sync::mpsc::{channel, Receiver, Sender};
@@ -67,6 +67,10 @@
 struct CloseState {
     /// Whether the connection is half-closed once everything queued is written.
     is_closing: AtomicBool,
+    /// Whether no further input is to be handled, as the client does not read its responses.
+    is_input_refused: AtomicBool,
+    /// Responses that were queued without a reservation.
+    unreserved_responses: AtomicUsize,
     /// Whether the connection is closed, without a linger, once everything queued is written.
     is_aborted: AtomicBool,
     /// Whether the writer has ended.
@@ -90,7 +94,10 @@
     waiting_writer: Arc<Mutex<Option<WaitingWriter>>>,
     unsent: UnsentBytes,
     close_state: Arc<CloseState>,
-    budget: MemoryBudget,
+    /// The memory budget of this connection's responses to requests that the core answers.
+    answer_budget: MemoryBudget,
+    /// The memory budget of this connection's responses that the front makes itself.
+    direct_budget: MemoryBudget,
     limits: Arc<Limits>,
     delivery: Arc<Mutex<DeliveryProgress>>,
     client_probe: Arc<SocketProbe>,
@@ -136,7 +143,9 @@
             waiting_writer: Arc::new(Mutex::new(Some(waiting_writer))),
             unsent: UnsentBytes::new(unsent_bytes),
             close_state: Arc::default(),
-            budget: budget.clone(),
+            answer_budget: budget
+                .part_leaving(limits.memory_budget_bytes, limits.direct_response_bytes()),
+            direct_budget: budget.part(limits.max_unsent_bytes),
             limits: limits.clone(),
             delivery: Arc::new(Mutex::new(DeliveryProgress::new(Instant::now()))),
             client_probe,
@@ -199,46 +208,117 @@
         &self.input
     }
 
-    /// Queues bytes for writing, unless the connection is closing. If too many are unsent on this connection, or the
-    /// memory budget is used up, the connection closes once those are written: a client that does not read its responses
-    /// must not take memory from others.
+    /// Queues a response that the front made itself, unless the connection is closing. If the client leaves too many
+    /// of them unread, the connection's further input is refused: see [`Outbox::is_input_refused`].
     pub fn send(&self, bytes: Vec<u8>) {
-        self.queue(bytes, None);
+        if self.is_closing() || self.is_aborted() {
+            return;
+        }
+        let reserved = self.reserve_direct(queued_size(&bytes));
+        if reserved.is_none() && !self.refuse_input(bytes.len()) {
+            return;
+        }
+        let response = Response {
+            bytes,
+            _reserved: reserved,
+        };
+        self.queue(response, None);
+    }
+
+    /// Reserves memory for a response that the front makes itself. A response may be longer than all of them may be, as
+    /// the state of many workers is, if no other is unsent.
+    fn reserve_direct(&self, size: usize) -> Option<MemoryReservation> {
+        if size > self.limits.max_unsent_bytes && self.direct_budget.reserved() == 0 {
+            return self.answer_budget.reserve_share(size);
+        }
+        self.direct_budget.reserve_share(size)
     }
 
-    /// Like [`Outbox::send`], for the response to a request that the core answered.
-    pub fn send_answer(&self, bytes: Vec<u8>, trace: RequestTrace) {
+    /// Makes room for the response to a request that the core answered, `kept` being what the request kept for a short
+    /// one. If there is no room, as clients leave too much unread, `failure` gives a short response in its place.
+    pub fn fit_answer(
+        &self,
+        bytes: Vec<u8>,
+        kept: MemoryReservation,
+        failure: impl FnOnce() -> Vec<u8>,
+    ) -> Response {
+        let size = queued_size(&bytes);
+        let reserved = if size <= kept.bytes() {
+            Some(kept)
+        } else if let Some(reserved) = self.answer_budget.reserve_share(size) {
+            Some(reserved)
+        } else {
+            let unsent = self.answer_budget.reserved();
+            log_limited!("{}", messages::answer_not_kept(bytes.len(), unsent));
+            return Response {
+                bytes: failure(),
+                _reserved: Some(kept),
+            };
+        };
+        Response {
+            bytes,
+            _reserved: reserved,
+        }
+    }
+
+    /// Queues the response to a request that the core answered, unless the connection is closing.
+    pub fn send_answer(&self, response: Response, trace: RequestTrace) {
         trace.timeline.reach(Milestone::Answered, Instant::now());
-        self.queue(bytes, Some(trace));
+        self.queue(response, Some(trace));
     }
 
-    fn queue(&self, bytes: Vec<u8>, trace: Option<RequestTrace>) {
+    fn queue(&self, response: Response, trace: Option<RequestTrace>) {
         if self.is_closing() || self.is_aborted() {
             return;
         }
-        let size = queued_size(&bytes);
-        let reserved = self.budget.reserve(size);
-        let unsent = self.unsent.on_connection();
-        if reserved.is_none() || unsent + size > self.limits.max_unsent_bytes {
-            log_limited!("{}", messages::responses_unread(unsent));
-            return self.close();
-        }
+        let size = queued_size(&response.bytes);
         self.unsent.add(size);
-        let command = WriteCommand::Write {
-            bytes,
-            reserved,
-            trace,
-        };
-        if !self.post(command) {
+        if !self.post(WriteCommand::Write { response, trace }) {
             self.unsent.discard(size);
         }
     }
 
+    /// Refuses the connection's further input, as there is no room for a response. Returns whether this response is
+    /// queued all the same: a few short ones are, as what was read before is answered.
+    fn refuse_input(&self, response_bytes: usize) -> bool {
+        if !self
+            .close_state
+            .is_input_refused
+            .swap(true, Ordering::AcqRel)
+        {
+            let unsent = self.unsent.on_connection();
+            log_limited!("{}", messages::responses_unread(unsent));
+        }
+        if response_bytes > self.limits.short_response_bytes {
+            return false;
+        }
+        let unreserved_responses = &self.close_state.unreserved_responses;
+        let count = unreserved_responses.fetch_add(1, Ordering::Relaxed);
+        count < self.limits.max_requests_per_connection
+    }
+
+    /// Whether no further input is to be handled, as the client does not read the responses. The connection's reader then
+    /// closes it once the open requests are answered.
+    pub fn is_input_refused(&self) -> bool {
+        self.close_state.is_input_refused.load(Ordering::Acquire)
+    }
+
+    /// Whether the client leaves so much unread that further requests are to be rejected. Waits, for `limit` at most,
+    /// until it has caught up.
+    pub fn has_backlog(&self, limit: Duration) -> bool {
+        self.wait_for_unsent(self.limits.max_unsent_bytes, limit);
+        self.unsent.on_connection() > self.limits.max_unsent_bytes
+    }
+
     /// Waits, for `limit` at most, until the writer has caught up: a client that sends requests faster than their responses
     /// can be written is read more slowly.
     pub fn wait_for_writer(&self, limit: Duration) {
+        self.wait_for_unsent(self.limits.client_ring_bytes, limit);
+    }
+
+    fn wait_for_unsent(&self, max_unsent: usize, limit: Duration) {
         let began_at = Instant::now();
-        while self.unsent.on_connection() > self.limits.client_ring_bytes
+        while self.unsent.on_connection() > max_unsent
             && !self.is_closing()
             && began_at.elapsed() < limit
         {
--- a/wrenseam/src/net/writer.rs
+++ b/wrenseam/src/net/writer.rs
@@ -24,15 +24,22 @@
     response.len() + QUEUED_RESPONSE_OVERHEAD
 }
 
+/// A response with the memory that it takes until it is written.
+#[derive(Debug)]
+pub struct Response {
+    /// The bytes to write.
+    pub(super) bytes: Vec<u8>,
+    /// Their reservation in the memory budget, released when this is dropped.
+    pub(super) _reserved: Option<MemoryReservation>,
+}
+
 /// A command to the writer of a connection.
 pub(super) enum WriteCommand {
-    /// Write these bytes.
+    /// Write this response.
     Write {
-        /// The bytes to write.
-        bytes: Vec<u8>,
-        /// Their reservation in the memory budget, released once they are written.
-        reserved: Option<MemoryReservation>,
-        /// The request that they answer, if the core answered it.
+        /// The response.
+        response: Response,
+        /// The request that it answers, if the core answered it.
         trace: Option<RequestTrace>,
     },
     /// Half-close the connection; its input is still read for a while.
@@ -127,8 +134,8 @@
         let direction = self.write_queued(queue);
         let _ = self.stream.shutdown(direction); // fails if the connection has ended by itself
         while let Ok(command) = queue.try_recv() {
-            if let WriteCommand::Write { bytes, .. } = command {
-                self.unsent.discard(queued_size(&bytes));
+            if let WriteCommand::Write { response, .. } = command {
+                self.unsent.discard(queued_size(&response.bytes));
             }
         }
     }
@@ -138,14 +145,10 @@
         let mut pacer = WritePacer::default();
         while let Some(command) = next_command(queue, &mut pacer) {
             match command {
-                WriteCommand::Write {
-                    bytes,
-                    reserved,
-                    trace,
-                } => {
-                    self.write_response(&bytes, trace.as_ref());
-                    self.unsent.subtract(queued_size(&bytes));
-                    drop(reserved);
+                WriteCommand::Write { response, trace } => {
+                    self.write_response(&response.bytes, trace.as_ref());
+                    self.unsent.subtract(queued_size(&response.bytes));
+                    drop(response);
                     pacer.record_write();
                 }
                 WriteCommand::HalfClose => return Shutdown::Write,
--- a/wrenseam/tests/common/front.rs
+++ b/wrenseam/tests/common/front.rs
@@ -40,19 +40,7 @@
         change(&mut limits);
         let (core, inbox) = channel();
         let context = ListenerContext::new(CoreHandle::new(core), Arc::new(limits), Arc::default());
-        let listener = may::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-        let client = connect(listener.local_addr().expect("bound"));
-        let serve: Serve = match protocol {
-            Protocol::Platform => fastcgi::serve,
-            Protocol::Kserve => kserve::serve,
-        };
-        let connection_context = context.clone();
-        let guard = context.slots.acquire().expect("a slot");
-        wrenseam::net::spawn(context.limits.coroutine_stack_bytes, move || {
-            let (stream, _) = listener.accept().expect("a connection");
-            serve(stream, &connection_context, guard);
-        })
-        .expect("a coroutine");
+        let client = connect_to_front(protocol, &context);
         InProcessFront {
             client,
             context,
@@ -60,6 +48,11 @@
         }
     }
 
+    /// Opens another connection to the front of this protocol.
+    pub(crate) fn connect_another(&self, protocol: Protocol) -> TcpStream {
+        connect_to_front(protocol, &self.context)
+    }
+
     /// Waits for the next request that the front passes to the core.
     pub(crate) fn next_request(&self) -> PassedRequest {
         match self.inbox.recv_timeout(TEST_TIMEOUT) {
@@ -78,6 +71,23 @@
     }
 }
 
+fn connect_to_front(protocol: Protocol, context: &ListenerContext) -> TcpStream {
+    let listener = may::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let client = connect(listener.local_addr().expect("bound"));
+    let serve: Serve = match protocol {
+        Protocol::Platform => fastcgi::serve,
+        Protocol::Kserve => kserve::serve,
+    };
+    let connection_context = context.clone();
+    let guard = context.slots.acquire().expect("a slot");
+    wrenseam::net::spawn(context.limits.coroutine_stack_bytes, move || {
+        let (stream, _) = listener.accept().expect("a connection");
+        serve(stream, &connection_context, guard);
+    })
+    .expect("a coroutine");
+    client
+}
+
 /// The bytes of a request for the core with this id, whose client waits `wait_ms` for the answer.
 #[allow(dead_code, reason = "each test binary uses its own part")]
 pub(crate) fn request_bytes(protocol: Protocol, id: u16, wait_ms: u32) -> Vec<u8> {
--- a/wrenseam/tests/log_messages.rs
+++ b/wrenseam/tests/log_messages.rs
@@ -108,6 +108,10 @@
     connection_messages::responses_unread(262_144).to_string(),
     "client: connection closed: 262144 bytes of responses unread"
 )]
+#[case(
+    connection_messages::answer_not_kept(230_000, 5_000_000).to_string(),
+    "client: request failed: no memory for a response of 230000 bytes behind 5000000 unsent"
+)]
 #[case(
     connection_messages::response_write_failed(&error()).to_string(),
     "client: connection closed: writing a response failed: out of memory"
@@ -221,6 +225,7 @@
 #[case("`admin: standby, a new process sends to workers in slow start`")]
 #[case("`admin: active, this process sends to workers in slow start`")]
 #[case("`client: connection closed: N bytes of responses unread`")]
+#[case("`client: request failed: no memory for a response of N bytes behind M unsent`")]
 #[case("`client: connection closed: writing a response failed: …`")]
 #[case("`client: connection closed: writer not started: …`")]
 #[case("`reload: the discovery service is at ADDRESS`")]
