Exclusions: processes change their shared file under a lock, after the core has executed

Cause: a command read, changed and wrote the whole file without a lock against the other process, and the poll of the file took the lost exclusion back in both. Ruled out: a lost poll (both processes agree with the file).

The core executes first, so a refused command leaves no trace in the file. Why it works: no two changes overlap. Related: ids that must not run twice were removed without the lock, and claimed without it after 5 ms; now such an id is not claimed.

--- a/wrenseam/src/executed_ids.rs
+++ b/wrenseam/src/executed_ids.rs
@@ -1,9 +1,10 @@
 //! The ids of recent requests that must never be executed twice and that a worker may have executed. A client may send
 //! such a request again on another connection, or to the other process of an upgrade, after its first connection ended.
+use crate::file_lock::{FileLock, FileLockError};
 use crate::process_files::shared_path;
 use std::collections::{HashMap, VecDeque};
 use std::fmt::{self, Display};
-use std::fs::{File, OpenOptions, TryLockError};
+use std::fs::{File, OpenOptions};
 use std::io;
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
@@ -16,7 +17,8 @@
 /// Most ids that a process keeps; beyond that the oldest is dropped.
 const MAX_IDS: usize = 16_384;
 
-/// How long a process waits for the lock of the shared file before it tries again, and how often it does.
+/// How long a process waits for the lock of the shared file before it tries again, and how often it does. The other
+/// process may be stopped while it holds the lock.
 const LOCK_WAIT: Duration = Duration::from_micros(100);
 const MAX_LOCK_WAITS: u32 = 50;
 
@@ -80,9 +82,15 @@
     }
 
     /// Records that a request with this id is about to be sent to a worker. Returns false, with nothing recorded, if
-    /// another process has sent one: it may have come there while this process had not decided yet.
+    /// another process has sent one, as it may have come there while this process had not decided yet, or if that cannot
+    /// be told because the other process holds the lock of the shared file.
     pub fn claim(&mut self, id: u64, now: Micros) -> bool {
-        let lock = self.shared.as_ref().map(SharedIds::lock);
+        let shared = self.shared.clone();
+        let lock = match shared.as_ref().map(SharedIds::lock) {
+            Some(Err(FileLockError::Held)) => return false,
+            // Where files cannot be locked the ids are shared without.
+            lock => lock,
+        };
         let is_claimed = self.claim_locked(id, now);
         drop(lock);
         is_claimed
@@ -108,8 +116,13 @@
         if self.kept_until.remove(&id).is_none() {
             return;
         }
-        if let Some(shared) = &self.shared {
-            shared.remove(id);
+        let Some(shared) = &self.shared else {
+            return;
+        };
+        match shared.lock() {
+            // The id stays there for its time: a request with it is rejected, and none is executed twice.
+            Err(FileLockError::Held) => {}
+            _lock => shared.remove(id),
         }
     }
 
@@ -128,18 +141,9 @@
 }
 
 /// A hash table in a file that two processes use at the same time. An entry is read and written whole.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct SharedIds(Arc<File>);
 
-/// The lock of the file, until it is dropped.
-struct FileLock(Arc<File>);
-
-impl Drop for FileLock {
-    fn drop(&mut self) {
-        let _ = self.0.unlock(); // it also ends with the process
-    }
-}
-
 impl SharedIds {
     fn open(path: &Path) -> io::Result<SharedIds> {
         let file = OpenOptions::new()
@@ -152,19 +156,9 @@
         Ok(SharedIds(Arc::new(file)))
     }
 
-    /// Locks the file against the other process, which may read and write between a read and a write of this one. Waits for
-    /// a limited time: the other process may be stopped while it holds the lock.
-    fn lock(&self) -> Result<FileLock, TryLockError> {
-        let file = self.0.clone();
-        let mut result = file.try_lock();
-        for _ in 0..MAX_LOCK_WAITS {
-            if result.is_ok() {
-                break;
-            }
-            std::thread::sleep(LOCK_WAIT);
-            result = file.try_lock();
-        }
-        result.map(|()| FileLock(file))
+    /// Locks the file against the other process, which may read and write between a read and a write of this one.
+    fn lock(&self) -> Result<FileLock<'_>, FileLockError> {
+        FileLock::acquire(&self.0, LOCK_WAIT, MAX_LOCK_WAITS, std::thread::sleep)
     }
 
     fn contains(&self, id: u64, now: Micros) -> bool {
--- a/wrenseam/src/front/admin/exclusions.rs
+++ b/wrenseam/src/front/admin/exclusions.rs
@@ -1,6 +1,7 @@
 //! The file of excluded worker ids, which the processes of one front end share.
-use super::file::{read_if_exists, write_atomically};
+use super::file::{read_if_exists, write_atomically, LockFile};
 use super::AdminError;
+use crate::file_lock::FileLockError;
 use crate::front::messages::{handover_not_read, HandoverContent};
 use crate::model::{AdminCommand, AdminReply};
 use std::collections::BTreeSet;
@@ -28,8 +29,8 @@
     Ok(ids.map(str::to_owned).collect())
 }
 
-/// Tracks the running commands that change the file. A command for an unknown worker id is reverted once the core has
-/// replied, so the content of the file must not be applied while a command runs.
+/// Tracks the running commands that change the file. The core executes a command before the file has its change, so the
+/// content of the file must not be applied while a command runs.
 #[derive(Clone, Debug, Default)]
 pub struct ExclusionCommands(Arc<CommandCounts>);
 
@@ -76,7 +77,6 @@
 }
 
 /// A change of the set of excluded ids.
-#[derive(Clone)]
 enum Change {
     Add(String),
     Remove(String),
@@ -92,24 +92,29 @@
         }
     }
 
-    /// The change that undoes this one.
-    fn reversed(self) -> Change {
-        match self {
-            Change::Add(id) => Change::Remove(id),
-            Change::Remove(id) => Change::Add(id),
-        }
-    }
-
-    /// Applies the change to the file. Returns whether its content changed. A file that cannot be read is left
-    /// unchanged.
-    fn apply_to(&self, path: &Path) -> bool {
-        let mut ids = match read_exclusions(path) {
-            Ok(ids) => ids,
+    /// Applies the change to the file, which no other command changes meanwhile, of this process or the other one. A file
+    /// that cannot be read is left unchanged.
+    ///
+    /// # Errors
+    /// Other commands had the file's lock all the time.
+    fn apply_to(&self, path: &Path) -> Result<(), AdminError> {
+        let lock_file = LockFile::open(path);
+        let lock = match lock_file.as_ref().map(LockFile::lock) {
+            Ok(Err(FileLockError::Held)) => return Err(AdminError::Busy),
+            // Where files cannot be locked they are shared without.
+            lock => lock,
+        };
+        match read_exclusions(path) {
+            Ok(ids) => self.write_changed(path, ids),
             Err(error) => {
                 log_limited!("{}", handover_not_read(HandoverContent::Exclusions, &error));
-                return false;
             }
-        };
+        }
+        drop(lock);
+        Ok(())
+    }
+
+    fn write_changed(&self, path: &Path, mut ids: BTreeSet<String>) {
         let has_changed = match self {
             Change::Add(id) => ids.insert(id.clone()),
             Change::Remove(id) => ids.remove(id),
@@ -117,26 +122,24 @@
         if has_changed {
             write_exclusions(path, &ids);
         }
-        has_changed
     }
 }
 
-/// Executes an `exclude` or `include` command. The file is changed first, so that no poll of the file undoes the
-/// command. Then `send` passes the command to the core. If the core does not know the worker, this change alone is
-/// reverted, as concurrent commands may have made others. If the core does not reply in time the change stays, as a
-/// busy core still executes the command.
+/// Executes an `exclude` or `include` command: `send` passes it to the core, then the file is changed, unless the core
+/// does not know the worker. If the core does not reply in time the file is changed too, as a busy core still executes
+/// the command. No poll of the file undoes the command in between: see [`ExclusionCommands`].
 ///
 /// # Errors
-/// Those of `send`.
+/// Those of `send`, and [`AdminError::Busy`] if the file could not be locked in time.
 pub fn update_exclusions(
     path: &Path,
     command: AdminCommand,
     send: impl FnOnce(AdminCommand) -> Result<AdminReply, AdminError>,
 ) -> Result<AdminReply, AdminError> {
-    let change = Change::from_command(&command).filter(|change| change.apply_to(path));
+    let change = Change::from_command(&command);
     let reply = send(command);
-    if let (Some(change), Ok(AdminReply::UnknownWorker(_))) = (change, &reply) {
-        change.reversed().apply_to(path);
+    if let (Some(change), false) = (change, matches!(reply, Ok(AdminReply::UnknownWorker(_)))) {
+        change.apply_to(path)?;
     }
     reply
 }
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod core;
 pub mod discovery;
 pub mod executed_ids;
+pub mod file_lock;
 pub mod fleet;
 pub mod front;
 pub mod gossip;
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -18,7 +18,7 @@
     fleet::Fleet,
     front::{request_bytes, InProcessFront, PassedRequest},
     harness::Harness,
-    program::{admin_command, POLICY_SETTINGS},
+    program::{admin_command, Program, POLICY_SETTINGS},
     support::{
         fastcgi::{fastcgi_record, fastcgi_request, read_fastcgi_answer},
         frames::read_frame,
--- a/wrenseam/tests/exclusions.rs
+++ b/wrenseam/tests/exclusions.rs
@@ -2,7 +2,7 @@
 //! changes by concurrent commands.
 use rstest::rstest;
 use std::collections::BTreeSet;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use wrenseam::front::admin::{
     read_exclusions, render, update_exclusions, write_exclusions, AdminError, ExclusionCommands,
 };
@@ -83,3 +83,90 @@
     assert_eq!(settled, Some(ids(&["a"])));
     let _ = std::fs::remove_file(&path);
 }
+
+/// Guards against commands of the two processes of an upgrade that overwrite each other's changes in the file: an
+/// exclusion that had been confirmed was then taken back. Each thread stands for a door of one of the processes.
+#[rstest]
+#[case::one_caller_each(1, 200)]
+#[case::four_callers_each(4, 50)]
+#[case::eight_callers_each(8, 10)]
+fn commands_of_two_processes_do_not_overwrite_each_other(
+    #[case] callers_each: usize,
+    #[case] commands: usize,
+) {
+    let path = test_path(&format!("two-processes-{callers_each}"));
+    let kept = format!("kept-{callers_each}");
+    write_exclusions(&path, &ids(&[&kept]));
+    let callers: Vec<_> = (0..2 * callers_each)
+        .map(|caller| {
+            let path = path.clone();
+            std::thread::spawn(move || {
+                for number in 0..commands {
+                    let id = format!("w{caller}-{number}");
+                    let excluded = update(&path, AdminCommand::Exclude(id.clone()));
+                    assert_eq!(excluded, format!("YES excluded {id}\n"));
+                    if number % 2 == 1 {
+                        let included = update(&path, AdminCommand::Include(id.clone()));
+                        assert_eq!(included, format!("YES included {id}\n"));
+                    }
+                }
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.join().expect("all commands are confirmed");
+    }
+    let mut expected: BTreeSet<String> = (0..2 * callers_each)
+        .flat_map(|caller| (0..commands).map(move |number| (caller, number)))
+        .filter(|(_, number)| number % 2 == 0)
+        .map(|(caller, number)| format!("w{caller}-{number}"))
+        .collect();
+    expected.insert(kept);
+    assert_eq!(read_exclusions(&path).expect("read"), expected);
+    let _ = std::fs::remove_file(&path);
+}
+
+/// Executes a command that the core confirms, and returns the reply.
+fn update(path: &Path, command: AdminCommand) -> String {
+    let reply = update_exclusions(path, command, |command| {
+        Ok(match command {
+            AdminCommand::Exclude(id) => AdminReply::Excluded(id),
+            AdminCommand::Include(id) => AdminReply::Included(id),
+            other => panic!("{other:?}"),
+        })
+    });
+    render(&reply)
+}
+
+/// Guards against a command for a worker that one process does not know yet, which took back the same exclusion by the
+/// other process: the file has no change of a command that the core refused.
+#[test]
+fn an_exclusion_is_not_taken_back_by_a_process_that_does_not_know_the_worker() {
+    let path = test_path("unknown");
+    write_exclusions(&path, &ids(&[]));
+    let exclude = AdminCommand::Exclude("b".to_owned());
+    let unknown = update_exclusions(&path, exclude.clone(), |_| {
+        assert_eq!(update(&path, exclude.clone()), "YES excluded b\n");
+        Ok(AdminReply::UnknownWorker("b".to_owned()))
+    });
+    assert_eq!(render(&unknown), "NO unknown b\n");
+    assert_eq!(read_exclusions(&path).expect("read"), ids(&["b"]));
+    let _ = std::fs::remove_file(&path);
+}
+
+/// While another process holds the lock of the file, as one may that was stopped meanwhile, a command is not confirmed, and
+/// the file stays as it is. The lock ends with its holder.
+#[test]
+fn a_command_is_not_confirmed_while_the_file_stays_locked() {
+    let path = test_path("locked");
+    write_exclusions(&path, &ids(&["a"]));
+    let lock = std::fs::File::create(path.with_extension("lock")).expect("a file");
+    lock.lock().expect("free");
+    let exclude = || update(&path, AdminCommand::Exclude("b".to_owned()));
+    assert_eq!(exclude(), "NO busy\n");
+    assert_eq!(read_exclusions(&path).expect("read"), ids(&["a"]));
+    drop(lock);
+    assert_eq!(exclude(), "YES excluded b\n");
+    assert_eq!(read_exclusions(&path).expect("read"), ids(&["a", "b"]));
+    let _ = std::fs::remove_file(&path);
+}
--- a/wrenseam/tests/executed_ids.rs
+++ b/wrenseam/tests/executed_ids.rs
@@ -65,6 +65,48 @@
     assert!(!process(&path).contains(7, NOW + MINUTE));
 }
 
+/// Guards against a process that removes its own id and overwrites one that the other process records in the same place
+/// of the file at the same time.
+#[test]
+fn an_id_that_is_recorded_while_another_is_removed_is_kept() {
+    const ROUNDS: u64 = 20_000;
+    /// Ids with this difference share a bucket of the file.
+    const BUCKETS: u64 = 2_048;
+    let path = shared_file("remove");
+    let (mut old, mut new) = (process(&path), process(&path));
+    let others = std::thread::spawn(move || {
+        for round in 0..ROUNDS {
+            let id = 7 + BUCKETS * (round % 3);
+            if old.claim(id, NOW) {
+                old.remove(id);
+            }
+        }
+    });
+    let mut overwritten = 0;
+    let mut id = 7 + BUCKETS * 10;
+    while !others.is_finished() {
+        id += BUCKETS;
+        if new.claim(id, NOW) {
+            overwritten += usize::from(!process(&path).contains(id, NOW));
+            new.remove(id);
+        }
+    }
+    others.join().expect("no panic");
+    assert_eq!(overwritten, 0);
+}
+
+/// An id that cannot be compared with those of the other process, as that one holds the lock, is not claimed.
+#[test]
+fn no_id_is_claimed_while_the_file_stays_locked() {
+    let path = shared_file("locked");
+    let mut ids = process(&path);
+    let lock = std::fs::File::open(&path).expect("a file");
+    lock.lock().expect("free");
+    assert!(!ids.claim(7, NOW));
+    drop(lock);
+    assert!(ids.claim(7, NOW));
+}
+
 /// Guards against two processes that both find an id unknown before either has recorded it.
 #[test]
 fn two_processes_that_claim_an_id_at_the_same_time_do_not_both_get_it() {
--- a/wrenseam/tests/process_handover.rs
+++ b/wrenseam/tests/process_handover.rs
@@ -1,8 +1,10 @@
 //! The handover while two processes of one front end run: which of them is active and sends to workers in slow start.
 mod common;
 
-use common::{Harness, Protocol};
+use common::{admin_command, Harness, Program, Protocol};
 use rstest::rstest;
+use std::net::SocketAddr;
+use std::sync::Barrier;
 use wrenseam::front::admin::POLL_INTERVAL;
 use wrenseam::handover::Handover;
 
@@ -74,3 +76,63 @@
         .expect("a file with the name");
     assert!(name.ends_with("-2a"), "{name}: does not end with the seed");
 }
+
+/// Rounds of commands at both processes, after each of which both have polled the file of exclusions.
+const ROUNDS: usize = 12;
+
+/// Sends each command to its admin endpoint, all at the same time. All must be confirmed.
+fn send_at_once(commands: &[(SocketAddr, String)]) {
+    let barrier = Barrier::new(commands.len());
+    std::thread::scope(|scope| {
+        for (address, command) in commands {
+            let barrier = &barrier;
+            scope.spawn(move || {
+                barrier.wait();
+                let reply = admin_command(*address, command);
+                assert!(reply.starts_with("YES"), "{command}: {reply}");
+            });
+        }
+    });
+}
+
+/// The number of workers that get no new work from this process.
+fn unavailable_workers(address: SocketAddr) -> usize {
+    let telemetry = admin_command(address, "telemetry\n");
+    let (_, rest) = telemetry
+        .split_once("app.members_unavailable:")
+        .expect("the gauge");
+    let (count, _) = rest.split_once('|').expect("a gauge");
+    count.parse().expect("a number")
+}
+
+/// Guards against exclusions that are confirmed and then lost, when operators exclude workers at both processes of an
+/// upgrade at the same time.
+#[test]
+fn exclusions_at_both_processes_at_the_same_time_are_all_kept() {
+    let harness = Harness::new(Protocol::Platform);
+    let folder = harness.folder();
+    let mut successor = Program::start(&folder, &folder.join("config.json"), &[]);
+    let _front = successor.next_listen_address();
+    let endpoints = [harness.admin_endpoint, successor.next_listen_address()];
+    successor.forward_log("successor".to_owned());
+    for round in 0..ROUNDS {
+        let commands = |name: &str| -> Vec<(SocketAddr, String)> {
+            (0..4)
+                .map(|worker| {
+                    (
+                        endpoints[(worker + round) % 2],
+                        format!("{name} w{worker}\n"),
+                    )
+                })
+                .collect()
+        };
+        send_at_once(&commands("exclude"));
+        std::thread::sleep(3 * POLL_INTERVAL);
+        let unavailable = endpoints.map(unavailable_workers);
+        assert_eq!(unavailable, [4, 4], "round {round}");
+        send_at_once(&commands("include"));
+        std::thread::sleep(3 * POLL_INTERVAL);
+        let unavailable = endpoints.map(unavailable_workers);
+        assert_eq!(unavailable, [0, 0], "round {round}");
+    }
+}
