Readiness: the list resumes no worker that has just said that it takes no new work

Cause: ReadinessLeases::list_confirmed resumed every suspended worker, whatever it had answered since. Ruled out: leases that end too late, as the host was suspended in time.

Change: a worker that said that it takes no new work, or refused a connection, is checked each second until it takes some, also in contact with discovery, where its answers were ignored. Where health checks are not allowed nothing changes. Why it works: its own answer is newer than what the list can tell.

Measured: policy/tests/readiness_lease.rs 27 of 27, 2 of them failed on; characterization, properties and the other policy tests pass.

--- a/policy/src/readiness_lease.rs
+++ b/policy/src/readiness_lease.rs
@@ -184,6 +184,15 @@
         self.last_used_at > 0 && now < self.last_used_at + IN_USE_FOR
     }
 
+    /// Whether the worker is suspended because of what it answered itself, or because its address refused a connection:
+    /// that is newer than anything that discovery may still have to report.
+    fn has_rejected(&self) -> bool {
+        matches!(
+            self.suspended,
+            Some(SuspendReason::NotAccepting | SuspendReason::Refused)
+        )
+    }
+
     /// Resets what was recorded since contact with discovery was lost: discovery has reported all events up to `at`.
     fn contact_regained(&mut self, at: Micros) {
         *self = WorkerRecord {
@@ -265,8 +274,9 @@
         Some(record.own_lease.ends_at.max(self.list_lease.ends_at) + self.grace)
     }
 
-    /// Discovery has reported all events up to `at`: renews all leases and resumes the suspended workers. Ignored if
-    /// `at` is before the last interruption.
+    /// Discovery has reported all events up to `at`: renews all leases and resumes the suspended workers, except those
+    /// that have shown themselves that they take no new work, which are checked until they do. Ignored if `at` is before
+    /// the last interruption.
     pub fn list_confirmed(&mut self, at: Micros) -> Vec<LeaseAction> {
         self.has_discovery = true;
         if at < self.last_interruption {
@@ -275,6 +285,9 @@
         self.list_lease.renew(at);
         let mut actions = Vec::new();
         for (worker, record) in &mut self.workers {
+            if record.has_rejected() && self.health_checks_enabled {
+                continue;
+            }
             if record.suspended.is_some() {
                 actions.push(LeaseAction::Resume {
                     worker: worker.clone(),
@@ -305,9 +318,9 @@
     }
 
     /// The worker accepted work or a health check that was sent at `sent_at`: renews its own lease and, if it was
-    /// suspended, resumes it. Ignored while in contact with discovery.
+    /// suspended, resumes it. Ignored for other workers while in contact with discovery.
     pub fn accepted(&mut self, worker: &str, sent_at: Micros, now: Micros) -> Option<LeaseAction> {
-        if !self.is_out_of_contact(now) || sent_at < self.last_interruption {
+        if !self.is_observed(worker, now) || sent_at < self.last_interruption {
             return None;
         }
         let list_confirmed_at = self.list_lease.confirmed_at;
@@ -347,7 +360,8 @@
         }
     }
 
-    /// A health check that was sent at `sent_at` has ended. Ignored while in contact with discovery.
+    /// A health check that was sent at `sent_at` has ended. While in contact with discovery ignored unless the worker is
+    /// suspended.
     pub fn check_ended(
         &mut self,
         worker: &str,
@@ -355,7 +369,7 @@
         result: HealthCheckResult,
         now: Micros,
     ) -> Option<LeaseAction> {
-        if !self.is_out_of_contact(now) {
+        if !self.is_observed(worker, now) {
             return None;
         }
         let reason = match result {
@@ -381,11 +395,17 @@
         })
     }
 
+    /// Whether the worker's own answers count: while out of contact with discovery, and as long as it is suspended.
+    fn is_observed(&self, worker: &str, now: Micros) -> bool {
+        let record = self.workers.get(worker);
+        self.is_out_of_contact(now) || record.is_some_and(|record| record.suspended.is_some())
+    }
+
     /// Suspends the workers whose leases have ended or that refused a connection, and returns the health checks that
-    /// are due. Does nothing while in contact with discovery. To be called periodically.
+    /// are due. While in contact with discovery only suspended workers are checked. To be called periodically.
     pub fn review(&mut self, now: Micros) -> Vec<LeaseAction> {
         if !self.is_out_of_contact(now) {
-            return Vec::new();
+            return self.checks_due_to(now, WorkerRecord::has_rejected);
         }
         self.choose_monitored(now);
         let mut actions = self.suspend_refused(now);
@@ -464,13 +484,25 @@
     /// The health checks that are due: those requested by [`ReadinessLeases::suspected`] or a refusal first, then by
     /// the end of the worker's lease.
     fn checks_due(&mut self, now: Micros) -> Vec<LeaseAction> {
+        self.checks_due_to(now, |record| record.needs_check || record.is_monitored)
+    }
+
+    /// The health checks that are due to workers that `is_checked` selects.
+    fn checks_due_to(
+        &mut self,
+        now: Micros,
+        is_checked: impl Fn(&WorkerRecord) -> bool,
+    ) -> Vec<LeaseAction> {
         let (list_ends_at, grace, seed) = (self.list_lease.ends_at, self.grace, self.seed);
         let mut due: Vec<(bool, Micros, &WorkerId, &mut WorkerRecord)> = Vec::new();
         for (worker, record) in &mut self.workers {
+            if !is_checked(record) {
+                continue;
+            }
             let ends_at = record.own_lease.ends_at.max(list_ends_at) + grace;
             let lead = CHECK_LEAD + rendezvous::weight(seed, worker) % CHECK_LEAD_SPREAD;
-            let is_due = record.needs_check
-                || record.is_monitored && (record.suspended.is_some() || now + lead >= ends_at);
+            let is_late = record.suspended.is_some() || now + lead >= ends_at;
+            let is_due = record.needs_check || is_late;
             if is_due && now >= record.next_check_at {
                 due.push((!record.needs_check, ends_at, worker, record));
             }
--- a/policy/tests/readiness_lease.rs
+++ b/policy/tests/readiness_lease.rs
@@ -255,6 +255,35 @@
     assert_eq!(leases.review(now + SECOND), []);
 }
 
+/// Guards against draining workers that are resumed with the list although they have just said that they take no new work:
+/// they are checked, also while discovery responds, until they take some, or are no longer listed as ready.
+#[rstest]
+#[case::draining(HealthCheckResult::NotAccepting)]
+#[case::stopped(HealthCheckResult::Refused)]
+fn a_worker_that_takes_no_new_work_is_not_resumed_by_the_list(#[case] result: HealthCheckResult) {
+    let mut leases = leases(true, &["a", "b"]);
+    let mut now = START + REPORTED_AFTER;
+    for worker in ["a", "b"] {
+        assert!(leases.check_ended(worker, now, result, now).is_some());
+    }
+    for _ in 0..5 {
+        now += SECOND;
+        assert_eq!(leases.list_confirmed(now), []);
+        let checks = ["a", "b"].map(|worker| LeaseAction::Check(worker.to_owned()));
+        assert_eq!(leases.review(now), checks);
+        assert_eq!(leases.check_ended("a", now, result, now), None);
+        assert_eq!(leases.check_ended("b", now, result, now), None);
+    }
+    assert_eq!(leases.suspended_count(), 2);
+    leases.listed("b", false);
+    now += SECOND;
+    assert_eq!(leases.review(now), [LeaseAction::Check("a".to_owned())]);
+    let resumed = leases.check_ended("a", now, HealthCheckResult::Accepting, now);
+    assert_eq!(resumed, Some(resume("a", true)));
+    assert_eq!(leases.suspended_count(), 0);
+    assert_eq!(leases.review(now + SECOND), []);
+}
+
 #[test]
 fn a_confirmation_from_before_an_interruption_is_ignored() {
     let mut leases = leases(false, &["a"]);
