Discovery: a comment confirms no list, and a connection stays until a newer has it all

Cause: a comment 250 ms after a request was taken as proof that nothing was pending, and renewed all leases. Each request was replaced after 3 to 4.5 s, so an event slower than that never came. Ruled out: the client's parser and the core's queue, as an event that came was applied at once in all of them.

Change: once a comment has come, or after 3 to 4.5 s, a further request asks for the last event again; its arrival and a comment after it (or 250 ms where it came at once) confirm the list. The former connection is read until then; three at most. Why it works: the service writes in order, so what was pending before the request is behind the event that comes again. Without it the leases end and workers are asked themselves.

--- a/wrenseam/src/discovery/backoff.rs
+++ b/wrenseam/src/discovery/backoff.rs
@@ -26,9 +26,14 @@
         }
     }
 
+    /// Forgets former failures, as the source answers again.
+    pub fn reset(&mut self) {
+        self.failures = 0;
+    }
+
     /// The pause after a request that brought events, or after the source's address has changed.
     pub fn after_success(&mut self) -> Duration {
-        self.failures = 0;
+        self.reset();
         self.random_up_to(self.limits.reconnect_jitter)
     }
 
@@ -48,9 +53,8 @@
         pause / 2 + self.random_up_to(pause / 2)
     }
 
-    /// The event timeout of the next request: a confirmed request of this age, or one that has brought no event for
-    /// this long, is replaced by a new one. Drawn for each request, so that the requests of many front ends are spread
-    /// over time.
+    /// The event timeout of the next request: after this time another one is made. Drawn for each request, so that the
+    /// requests of many front ends are spread over time.
     pub fn event_timeout(&mut self) -> Duration {
         let shortest = self.limits.event_timeout_min;
         let range = self.limits.event_timeout_max.saturating_sub(shortest);
--- a/wrenseam/src/discovery/client.rs
+++ b/wrenseam/src/discovery/client.rs
@@ -1,53 +1,23 @@
-//! The connection to the discovery service: connects, reads events and passes their changes to the core.
+//! Follows the discovery service: makes requests, and passes what they bring to the core.
+//!
+//! A connection that sends only comments may have an event that never arrives on it, so requests are made again and
+//! again. A service that is slow may bring an event late on a connection that has long been open, so a connection is kept
+//! until a newer one is seen to bring everything.
 use crate::discovery::address::DiscoveryAddress;
 use crate::discovery::backoff::ReconnectBackoff;
-use crate::discovery::event_stream::{EventStreamError, EventStreamResponse, StreamItem};
+use crate::discovery::connection::Connection;
+pub use crate::discovery::connection::ConnectionError;
 use crate::discovery::log_lines;
-use crate::discovery::watch::{WatchError, WatchState};
+use crate::discovery::watch::{EndpointListUpdate, WatchState};
 use crate::limits::DiscoveryLimits;
 use crate::model::{DiscoveryContact, TransportProtocol};
-use crate::net::would_block;
 use crate::queue::CoreHandle;
-use crate::ring::Ring;
-use may::net::TcpStream;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use thiserror::Error;
 use wrenseam_policy::readiness_lease::Interruption;
 
-/// Why a request to the discovery service ended. There is no end without an error, as the event stream is endless.
-#[derive(Debug, Error)]
-pub enum ConnectionError {
-    /// The configuration names no service.
-    #[error("the configuration names no discovery service")]
-    NoAddress,
-    /// The service has another address now.
-    #[error("the discovery service has another address")]
-    AddressChanged,
-    /// A system call failed.
-    #[error(transparent)]
-    Io(#[from] std::io::Error),
-    /// The service closed the connection.
-    #[error("the service closed the connection")]
-    Closed,
-    /// Nothing was received within [`DiscoveryLimits::silence_timeout`], not even a comment.
-    #[error("no event and no comment was received in time")]
-    Silent,
-    /// The request is older than its event timeout, or has brought no event for that long: a new one shows whether
-    /// events are missing.
-    #[error("the request is replaced by a new one")]
-    RequestExpired,
-    /// The response is not a valid event stream.
-    #[error(transparent)]
-    Stream(#[from] EventStreamError),
-    /// Events must be requested again.
-    #[error(transparent)]
-    Watch(#[from] WatchError),
-}
-
-/// Receives the discovery service's events and never returns. Whenever a request ends, a new one asks for the events
-/// after the last one received.
+/// Receives the discovery service's events and never returns. Whenever all connections have ended, a new one asks for the
+/// events after the last one received.
 pub fn run(
     service: &DiscoveryAddress,
     state: WatchState,
@@ -61,10 +31,13 @@
         backoff: ReconnectBackoff::new(seed, limits),
         limits,
         core,
+        connections: Vec::new(),
+        next_request_at: Instant::now(),
         is_out_of_contact: false,
+        interrupted_at: None,
     };
     loop {
-        let pause = client.request();
+        let pause = client.follow();
         if !pause.is_zero() {
             crate::net::sleep(pause);
         }
@@ -77,44 +50,33 @@
     backoff: ReconnectBackoff,
     limits: &'a DiscoveryLimits,
     core: &'a CoreHandle,
+    /// The open connections, the oldest first.
+    connections: Vec<Connection>,
+    /// No request is made before this time while a connection is open.
+    next_request_at: Instant,
     /// Whether an interruption has been reported, and no confirmation since.
     is_out_of_contact: bool,
+    /// The time of the last interruption that was reported.
+    interrupted_at: Option<Instant>,
 }
 
-/// A connection and the state of the request on it.
-struct Connection {
-    address: SocketAddr,
-    stream: TcpStream,
-    buffer: Ring,
-    bytes: Vec<u8>,
-    response: EventStreamResponse,
-    requested_at: Instant,
-    last_received_at: Instant,
-    last_event_at: Instant,
-    has_received: bool,
-    /// Whether a comment has arrived at least [`DiscoveryLimits::settle_time`] after the request, and therefore after
-    /// all pending events.
-    has_settled: bool,
-    /// Whether `DiscoveryContact::Confirmed` has been reported for this request.
-    is_confirmed: bool,
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RequestKind {
+    /// The events after the last one received.
+    NewEvents,
+    /// The last event received and those after it: its arrival shows that the service has taken up the request.
+    Probe,
 }
 
 impl Client<'_> {
-    /// Makes a request, reads its events until it ends, and returns the pause before the next request.
-    fn request(&mut self) -> Duration {
+    /// Follows the service until no connection is open any more. Returns the pause before the next request.
+    fn follow(&mut self) -> Duration {
         let address = self.service.get();
         let last_event = self.state.last_event();
-        let error = self.read_events(address);
-        if matches!(error, ConnectionError::RequestExpired) {
-            return Duration::ZERO;
-        }
-        if let Some(address) = address {
-            let last_event = self.state.last_event();
-            log_limited!(
-                "{}",
-                log_lines::connection_ended(address, last_event, &error)
-            );
-        }
+        let error = self.receive_events(address);
+        self.connections.clear();
+        self.log_end(address, &error);
         // Without new events the service may be down: the pause grows with each such request.
         let unsuccessful = self.state.last_event() == last_event && self.service.get() == address;
         if unsuccessful {
@@ -124,25 +86,154 @@
         }
     }
 
-    fn read_events(&mut self, address: Option<SocketAddr>) -> ConnectionError {
+    fn receive_events(&mut self, address: Option<SocketAddr>) -> ConnectionError {
         let Some(address) = address else {
             return ConnectionError::NoAddress;
         };
-        let event_timeout = self.backoff.event_timeout();
-        let mut connection = match self.connect(address) {
-            Ok(connection) => connection,
-            Err(error) => {
-                self.report_failed_request(Instant::now(), Interruption::Unreachable);
+        if let Err(error) = self.request(address, RequestKind::NewEvents) {
+            return error;
+        }
+        loop {
+            if let Err(error) = self.receive(address) {
                 return error;
             }
+            self.confirm();
+            if let Some(kind) = self.due_request() {
+                self.request_again(address, kind);
+            }
+        }
+    }
+
+    /// Reads from each connection, and waits a little for input on the newest. Fails if no connection is left or all are
+    /// of no further use.
+    fn receive(&mut self, address: SocketAddr) -> Result<(), ConnectionError> {
+        let newest = self.connections.len().saturating_sub(1);
+        let wait = if newest > 0 {
+            self.limits.shared_read_interval
+        } else {
+            self.limits.address_check_interval
         };
-        loop {
-            if let Err(error) = self.receive(&mut connection, event_timeout) {
-                self.report_end(&connection, &error);
-                return error;
+        let mut index = 0;
+        while index < self.connections.len() {
+            let is_newest = index + 1 == self.connections.len();
+            let result = self.receive_from(index, is_newest.then_some(wait));
+            if self.service.get() != Some(address) {
+                return Err(ConnectionError::AddressChanged);
+            }
+            match result {
+                Ok(()) => index += 1,
+                Err(error) => self.end_connection(index, address, error)?,
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads from a connection, and passes changes to the core. With `wait`, waits for input.
+    fn receive_from(
+        &mut self,
+        index: usize,
+        wait: Option<Duration>,
+    ) -> Result<(), ConnectionError> {
+        let core = self.core;
+        let mut apply = |update: EndpointListUpdate| {
+            core.endpoint_update(TransportProtocol::Frames, update.complete, update.endpoints);
+        };
+        let silence_timeout = self.limits.silence_timeout;
+        let connection = &mut self.connections[index];
+        match wait {
+            Some(wait) => connection.receive(wait, silence_timeout, &mut self.state, &mut apply),
+            None => connection.receive_ready(silence_timeout, &mut self.state, &mut apply),
+        }
+    }
+
+    /// Removes a connection that has ended. Its end is an interruption unless a newer connection is open, on which
+    /// everything is asked for that it has not brought.
+    ///
+    /// # Errors
+    /// The same error, if no connection is left, or if events must be requested again, which ends all of them.
+    fn end_connection(
+        &mut self,
+        index: usize,
+        address: SocketAddr,
+        error: ConnectionError,
+    ) -> Result<(), ConnectionError> {
+        let connection = self.connections.remove(index);
+        let is_newest = index == self.connections.len();
+        if is_newest {
+            self.report_end(&connection, &error);
+        }
+        if self.connections.is_empty() || matches!(error, ConnectionError::Watch(_)) {
+            return Err(error);
+        }
+        if is_newest {
+            self.postpone_request();
+        }
+        self.log_end(Some(address), &error);
+        Ok(())
+    }
+
+    fn log_end(&self, address: Option<SocketAddr>, error: &ConnectionError) {
+        if let Some(address) = address {
+            let last_event = self.state.last_event();
+            log_limited!(
+                "{}",
+                log_lines::connection_ended(address, last_event, error)
+            );
+        }
+    }
+
+    /// The request that is due, if any. A connection that is merely alive does not show whether something is pending, and
+    /// an old one may have an event that never arrives on it.
+    fn due_request(&self) -> Option<RequestKind> {
+        let newest = self.connections.last()?;
+        if Instant::now() < self.next_request_at {
+            return None;
+        }
+        let needs_probe = newest.is_only_alive() && !newest.is_probe;
+        if !needs_probe && !newest.is_old() {
+            return None;
+        }
+        Some(if newest.has_settled {
+            RequestKind::Probe
+        } else {
+            RequestKind::NewEvents
+        })
+    }
+
+    /// Makes another request while connections are open. If these are as many as may be, the newest is given up: the
+    /// oldest bring what a slow service has to tell first.
+    fn request_again(&mut self, address: SocketAddr, kind: RequestKind) {
+        if self.connections.len() >= self.limits.max_connections {
+            self.connections.pop();
+            self.log_end(Some(address), &ConnectionError::RequestExpired);
+        }
+        if let Err(error) = self.request(address, kind) {
+            self.postpone_request();
+            self.log_end(Some(address), &error);
+        }
+    }
+
+    fn postpone_request(&mut self) {
+        self.next_request_at = Instant::now() + self.backoff.after_failure();
+    }
+
+    fn request(&mut self, address: SocketAddr, kind: RequestKind) -> Result<(), ConnectionError> {
+        let state = &mut self.state;
+        let is_probe = kind == RequestKind::Probe;
+        let begin = || match kind {
+            RequestKind::NewEvents => state.begin_request(),
+            RequestKind::Probe => state.begin_probe(),
+        };
+        let event_timeout = self.backoff.event_timeout();
+        let opened = Connection::open(address, begin, is_probe, event_timeout, self.limits);
+        match opened {
+            Ok(connection) => self.connections.push(connection),
+            Err(error) => {
+                self.report_failed_request(Instant::now(), Interruption::Unreachable);
+                return Err(error);
             }
-            self.confirm_if_settled(&mut connection);
         }
+        Ok(())
     }
 
     /// Reports the end of a connection, unless the client itself ended it: then the next request's confirmation or
@@ -176,117 +267,32 @@
 
     fn report_interruption(&mut self, at: Instant, cause: Interruption) {
         self.is_out_of_contact = true;
+        self.interrupted_at = Some(at);
         self.core
             .discovery_contact(DiscoveryContact::Interrupted { at, cause });
     }
 
-    /// Reports, once for each request, that every change up to the time of the request has been received, provided that
-    /// no event is incomplete.
-    fn confirm_if_settled(&mut self, connection: &mut Connection) {
-        let is_settled = connection.has_settled && self.state.is_complete();
-        if is_settled && !std::mem::replace(&mut connection.is_confirmed, true) {
-            let requested_at = connection.requested_at;
-            self.is_out_of_contact = false;
-            self.core
-                .discovery_contact(DiscoveryContact::Confirmed { requested_at });
-        }
-    }
-
-    fn connect(&mut self, address: SocketAddr) -> Result<Connection, ConnectionError> {
-        let mut stream = TcpStream::connect_timeout(&address, self.limits.connect_timeout)?;
-        stream.set_read_timeout(Some(self.limits.address_check_interval))?;
-        let last_event = self.state.begin_request();
-        let requested_at = Instant::now();
-        let request = format!(
-            "GET /board/poll HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {last_event}\r\n\r\n"
-        );
-        stream.write_all(request.as_bytes())?;
-        let now = Instant::now();
-        Ok(Connection {
-            address,
-            stream,
-            buffer: Ring::new(self.limits.read_buffer_bytes),
-            bytes: Vec::new(),
-            response: EventStreamResponse::new(self.limits),
-            requested_at,
-            last_received_at: now,
-            last_event_at: now,
-            has_received: false,
-            has_settled: false,
-            is_confirmed: false,
-        })
-    }
-
-    /// Reads once and handles what has been received.
-    fn receive(
-        &mut self,
-        connection: &mut Connection,
-        event_timeout: Duration,
-    ) -> Result<(), ConnectionError> {
-        connection.read(self.limits.silence_timeout)?;
-        if self.service.get() != Some(connection.address) {
-            return Err(ConnectionError::AddressChanged);
+    /// Once a connection is up to date and no event is incomplete: closes those that are older, and reports that every
+    /// change up to the time of its request has been received.
+    fn confirm(&mut self) {
+        let Some(index) = self.connections.iter().rposition(Connection::is_up_to_date) else {
+            return;
+        };
+        if !self.state.is_complete() {
+            return;
         }
-        self.handle_bytes(connection)?;
-        // A service that sends only comments may have an event that never arrives on this connection. Checked last, so
-        // that events already received are not requested again.
-        if connection.needs_new_request(event_timeout) {
-            return Err(ConnectionError::RequestExpired);
+        self.connections.drain(..index);
+        let connection = &mut self.connections[0];
+        if std::mem::replace(&mut connection.is_confirmed, true) {
+            return;
         }
-        Ok(())
-    }
-
-    fn handle_bytes(&mut self, connection: &mut Connection) -> Result<(), ConnectionError> {
-        for &byte in &connection.bytes {
-            let update = match connection.response.push(byte)? {
-                StreamItem::Incomplete => continue,
-                StreamItem::Comment => {
-                    let age = connection.requested_at.elapsed();
-                    connection.has_settled |= age >= self.limits.settle_time;
-                    self.state.handle_comment()?
-                }
-                StreamItem::Event(event) => {
-                    connection.last_event_at = Instant::now();
-                    self.state.handle_event(event.id.as_deref(), &event.data)?
-                }
-            };
-            if let Some(update) = update {
-                self.core.endpoint_update(
-                    TransportProtocol::Frames,
-                    update.complete,
-                    update.endpoints,
-                );
-            }
+        let requested_at = connection.requested_at;
+        if self.interrupted_at.is_some_and(|at| requested_at < at) {
+            return;
         }
-        Ok(())
-    }
-}
-
-impl Connection {
-    /// Whether the request is due to be replaced by a new one: it is confirmed and too old, or has brought no event for
-    /// too long. Only the response to a new request confirms the list again.
-    fn needs_new_request(&self, event_timeout: Duration) -> bool {
-        let is_old = self.is_confirmed && self.requested_at.elapsed() >= event_timeout;
-        is_old || self.last_event_at.elapsed() >= event_timeout
-    }
-
-    /// Reads once and replaces `bytes` by what has been received, which is nothing if the read timed out.
-    fn read(&mut self, silence_timeout: Duration) -> Result<(), ConnectionError> {
-        match self.buffer.fill(&mut self.stream) {
-            Ok(0) => return Err(ConnectionError::Closed),
-            Ok(_) => {
-                self.last_received_at = Instant::now();
-                self.has_received = true;
-            }
-            Err(error) if would_block(&error) => {
-                if self.last_received_at.elapsed() >= silence_timeout {
-                    return Err(ConnectionError::Silent);
-                }
-            }
-            Err(error) => return Err(error.into()),
-        }
-        self.bytes.clear();
-        self.buffer.take(usize::MAX, &mut self.bytes);
-        Ok(())
+        self.is_out_of_contact = false;
+        self.backoff.reset();
+        self.core
+            .discovery_contact(DiscoveryContact::Confirmed { requested_at });
     }
 }
--- a/wrenseam/src/discovery/mod.rs
+++ b/wrenseam/src/discovery/mod.rs
@@ -1,13 +1,14 @@
 //! The sources of endpoint lists, and the merging of their endpoints.
 //!
-//! - [`client`] holds the connection to the discovery service, at the address in [`address`] and at the times that
-//!   [`backoff`] gives.
+//! - [`client`] follows the discovery service, at the address in [`address`] and at the times that [`backoff`] gives, over
+//!   one [`connection`] or a few.
 //! - [`event_stream`] parses its response, [`event`] the JSON in it, and [`watch`] decides what each event changes.
 //! - [`xds`] reads endpoints of KServe v2 workers; [`etcd`] tracks a key prefix of an etcd v3 registry.
 //! - [`membership`] merges all sources into one list.
 pub mod address;
 pub mod backoff;
 pub mod client;
+pub mod connection;
 pub mod etcd;
 pub mod event;
 pub mod event_stream;
--- a/wrenseam/src/discovery/watch.rs
+++ b/wrenseam/src/discovery/watch.rs
@@ -1,5 +1,5 @@
 //! Applies the discovery service's events in the order of their numbers, and decides after which event the next request
-//! asks the service to continue. No sockets and no clock.
+//! asks the service to continue. Several requests may be open at a time. No sockets and no clock.
 //!
 //! An event that arrives late must not undo what an event with a higher number has changed. While an event is
 //! incomplete (a part of it was invalid), the latest endpoint of each instance listed since is kept, so that the event
@@ -85,7 +85,6 @@
     repeated: Option<RepeatedRequest>,
     /// Whether the next request must ask for the complete list.
     needs_complete_list: bool,
-    request: RequestProgress,
 }
 
 struct LatestEndpoint {
@@ -102,11 +101,17 @@
     Unnumbered,
 }
 
-/// What has been received on the current request.
+/// A request, and what has been received on it.
 #[derive(Default)]
-struct RequestProgress {
-    /// Whether the last event of all requests, a newer one or an incomplete one has arrived.
+pub struct WatchRequest {
+    /// The number of the event after which the service is asked to continue.
+    after: u64,
+    /// The last event received before the request.
+    known_event: u64,
+    /// Whether that event, a newer one or an incomplete one has arrived.
     reached_last_event: bool,
+    /// Whether that event or a newer one has arrived.
+    has_caught_up: bool,
     /// Whether events with lower numbers have arrived before that.
     has_older_events: bool,
     /// The list that these events form, in case the service has restarted its event numbers.
@@ -142,6 +147,56 @@
     }
 }
 
+impl WatchRequest {
+    /// The number of the event after which the service is asked to continue.
+    pub fn after(&self) -> u64 {
+        self.after
+    }
+
+    /// Whether the service has sent an event at least as new as the last one known before the request, or none was known.
+    /// Until then the service may not have taken up the request, although it sends comments.
+    pub fn has_caught_up(&self) -> bool {
+        self.has_caught_up || self.known_event == BEFORE_ALL_EVENTS
+    }
+
+    fn record_number(&mut self, number: u64) {
+        self.has_caught_up |= number >= self.known_event;
+    }
+
+    fn reach_last_event(&mut self) {
+        self.reached_last_event = true;
+        self.restarted_list = None;
+    }
+
+    /// Handles an event with a number received before: the service sent it twice, sent it again on request, or has
+    /// restarted its event numbers.
+    fn handle_older_event(&mut self, number: u64, event: Result<EndpointEvent, EventError>) {
+        if number >= self.known_event {
+            self.reach_last_event();
+        }
+        if self.reached_last_event {
+            return;
+        }
+        self.has_older_events = true;
+        let Ok(event) = event else {
+            return;
+        };
+        if event.complete {
+            self.restarted_list = Some(RestartedList {
+                last_event: number,
+                endpoints: BTreeMap::new(),
+            });
+        }
+        let Some(restarted) = &mut self.restarted_list else {
+            return;
+        };
+        restarted.last_event = number.max(restarted.last_event);
+        for endpoint in event.endpoints {
+            restarted.endpoints.insert(endpoint.id.clone(), endpoint);
+        }
+    }
+}
+
 impl WatchState {
     /// Starts from the known events of the configuration and the number of the last of them.
     pub fn from_known_events(known: &Object) -> InitialWatch {
@@ -184,19 +239,34 @@
         self.incomplete.is_empty() && !self.needs_complete_list
     }
 
-    /// Begins a request. Returns the number of the event after which the service must continue: the last one, or the
-    /// one before the first incomplete one.
-    pub fn begin_request(&mut self) -> u64 {
-        self.request = RequestProgress::default();
+    /// Begins a request for the events after the last one, or after the one before the first incomplete one.
+    pub fn begin_request(&mut self) -> WatchRequest {
+        self.begin_request_after(self.last_event)
+    }
+
+    /// Like [`WatchState::begin_request`], but asks for the last event again: once the service has sent it, it has taken
+    /// up the request, which its silence does not show.
+    pub fn begin_probe(&mut self) -> WatchRequest {
+        self.begin_request_after(self.last_event.saturating_sub(1))
+    }
+
+    fn begin_request_after(&mut self, after: u64) -> WatchRequest {
+        WatchRequest {
+            after: self.first_missing_after().unwrap_or(after),
+            known_event: self.last_event,
+            ..WatchRequest::default()
+        }
+    }
+
+    /// The number of the event after which something is missing; `None` if nothing is known to be.
+    fn first_missing_after(&mut self) -> Option<u64> {
         if std::mem::take(&mut self.needs_complete_list) {
-            return BEFORE_ALL_EVENTS;
+            return Some(BEFORE_ALL_EVENTS);
         }
         self.drop_persistent_faults();
-        let Some((&number, repeated_requests)) = self.incomplete.iter_mut().next() else {
-            return self.last_event;
-        };
+        let (&number, repeated_requests) = self.incomplete.iter_mut().next()?;
         *repeated_requests += 1;
-        number.saturating_sub(1)
+        Some(number.saturating_sub(1))
     }
 
     fn drop_persistent_faults(&mut self) {
@@ -217,21 +287,40 @@
     /// A [`WatchError`] if a new request must be made.
     pub fn handle_event(
         &mut self,
+        request: &mut WatchRequest,
         id: Option<&str>,
         data: &str,
     ) -> Result<Option<EndpointListUpdate>, WatchError> {
-        self.request.comments_since_event = 0;
+        request.comments_since_event = 0;
+        if self.is_known(request, id) {
+            request.reach_last_event();
+            request.has_caught_up = true;
+            return Ok(None);
+        }
         let parsed = ParsedEvent::parse(id, data);
         let Some(number) = parsed.number else {
             return self.handle_unnumbered_event(id, parsed.event);
         };
+        request.record_number(number);
         if number <= self.last_event && !self.incomplete.contains_key(&number) {
-            self.handle_older_event(number, parsed.event);
+            request.handle_older_event(number, parsed.event);
             return Ok(None);
         }
+        request.reach_last_event();
         self.handle_newer_or_repeated_event(number, parsed.event)
     }
 
+    /// Whether this is the last event known before the request, or one that another request has brought since: its data
+    /// need not be parsed, and may be the complete list.
+    fn is_known(&self, request: &WatchRequest, id: Option<&str>) -> bool {
+        let number = id.and_then(|id| id.parse().ok());
+        let is_known = |number| {
+            let is_received = number >= request.known_event && number <= self.last_event;
+            is_received && !self.incomplete.contains_key(&number)
+        };
+        number.is_some_and(is_known)
+    }
+
     /// Handles an event without a number. It has no place in the order: it is requested once more, then it is treated
     /// as the newest event.
     fn handle_unnumbered_event(
@@ -258,8 +347,6 @@
         number: u64,
         event: Result<EndpointEvent, EventError>,
     ) -> Result<Option<EndpointListUpdate>, WatchError> {
-        self.request.reached_last_event = true;
-        self.request.restarted_list = None;
         self.check_gap(number)?;
         if let Some(fault) = first_fault(&event) {
             self.check_fault(number, fault)?;
@@ -308,21 +395,26 @@
     /// # Errors
     ///
     /// [`WatchError::NumbersRestarted`] if it has and did not send its complete list, which must then be requested.
-    pub fn handle_comment(&mut self) -> Result<Option<EndpointListUpdate>, WatchError> {
-        self.request.comments_since_event += 1;
-        if self.request.comments_since_event < COMMENTS_AFTER_ALL_EVENTS
-            || !self.request.has_older_events
-            || self.request.reached_last_event
+    pub fn handle_comment(
+        &mut self,
+        request: &mut WatchRequest,
+    ) -> Result<Option<EndpointListUpdate>, WatchError> {
+        request.comments_since_event += 1;
+        if request.comments_since_event < COMMENTS_AFTER_ALL_EVENTS
+            || !request.has_older_events
+            || request.reached_last_event
         {
             return Ok(None);
         }
-        self.request.has_older_events = false;
-        let Some(restarted) = self.request.restarted_list.take() else {
+        request.has_older_events = false;
+        let Some(restarted) = request.restarted_list.take() else {
             self.needs_complete_list = true;
             return Err(WatchError::NumbersRestarted {
                 last: self.last_event,
             });
         };
+        request.reach_last_event();
+        request.has_caught_up = true;
         Ok(Some(self.adopt_restarted_list(restarted)))
     }
 
@@ -355,35 +447,6 @@
         Err(error)
     }
 
-    /// Handles an event with a number received before: the service sent it twice, sent it again on request, or has
-    /// restarted its event numbers.
-    fn handle_older_event(&mut self, number: u64, event: Result<EndpointEvent, EventError>) {
-        if number == self.last_event {
-            self.request.reached_last_event = true;
-            self.request.restarted_list = None;
-        }
-        if self.request.reached_last_event {
-            return;
-        }
-        self.request.has_older_events = true;
-        let Ok(event) = event else {
-            return;
-        };
-        if event.complete {
-            self.request.restarted_list = Some(RestartedList {
-                last_event: number,
-                endpoints: BTreeMap::new(),
-            });
-        }
-        let Some(restarted) = &mut self.request.restarted_list else {
-            return;
-        };
-        restarted.last_event = number.max(restarted.last_event);
-        for endpoint in event.endpoints {
-            restarted.endpoints.insert(endpoint.id.clone(), endpoint);
-        }
-    }
-
     /// Applies an event, except for endpoints that later events list, and returns what it changes.
     fn apply(&mut self, number: u64, event: EndpointEvent) -> Option<EndpointListUpdate> {
         let has_faults = !event.faults.is_empty();
--- a/wrenseam/src/limits/discovery.rs
+++ b/wrenseam/src/limits/discovery.rs
@@ -13,10 +13,16 @@
 /// to the front end 7 s later; this time leaves room for another request if the new one fails.
 const DISCOVERY_EVENT_TIMEOUT_MAX: Duration = Duration::from_millis(4_500);
 
-/// A comment that arrives this long after the request comes after all pending events, as the service sends those well
-/// before.
+/// A comment that arrives this long after the service was seen to have taken up a request comes after all events from
+/// before it, as the service sends those together.
 const DISCOVERY_SETTLE_TIME: Duration = Duration::from_millis(250);
 
+/// Most connections to the discovery service at a time: the one that is up to date or is the oldest, one that is slow to
+/// become so, and the newest.
+const DISCOVERY_CONNECTIONS_MAX: usize = 3;
+/// While several connections are open, the others are read from in this interval.
+const DISCOVERY_SHARED_READ_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Interval at which a waiting read checks whether the discovery service's address has changed.
 const DISCOVERY_ADDRESS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -42,13 +48,17 @@
     pub connect_timeout: Duration,
     /// A connection on which nothing is received for this long has ended.
     pub silence_timeout: Duration,
-    /// Shortest event timeout, which is drawn for each request. A confirmed request of this age, or one that has
-    /// brought no event for this long, is replaced by a new one even if comments arrive.
+    /// Shortest event timeout, which is drawn for each request. After this time another request is made, whatever
+    /// arrives.
     pub event_timeout_min: Duration,
     /// Longest event timeout that is drawn for a request.
     pub event_timeout_max: Duration,
-    /// A service that sends a comment this long after the request has sent all pending events.
+    /// A service that sends a comment this long after it took up the request has sent all pending events.
     pub settle_time: Duration,
+    /// Maximum number of connections to the service.
+    pub max_connections: usize,
+    /// Longest wait for input on one connection while others are open.
+    pub shared_read_interval: Duration,
     /// Interval at which a waiting read checks whether the service's address has changed.
     pub address_check_interval: Duration,
     /// Pause after the first failed request.
@@ -75,6 +85,8 @@
             event_timeout_min: DISCOVERY_EVENT_TIMEOUT_MIN,
             event_timeout_max: DISCOVERY_EVENT_TIMEOUT_MAX,
             settle_time: DISCOVERY_SETTLE_TIME,
+            max_connections: DISCOVERY_CONNECTIONS_MAX,
+            shared_read_interval: DISCOVERY_SHARED_READ_INTERVAL,
             address_check_interval: DISCOVERY_ADDRESS_CHECK_INTERVAL,
             retry_initial: DISCOVERY_RETRY_INITIAL,
             retry_max: if large_fleet {
