Outbox and watch: response memory, client probe and watch request in files of their own

Ruled out: other behaviour; the lines are moved, and the log line of refused input is written where the refusal shows.

--- a/wrenseam/src/discovery/watch.rs
+++ b/wrenseam/src/discovery/watch.rs
@@ -6,6 +6,8 @@
 //! can be applied in its place when it is received again.
 use crate::discovery::event::{parse_event, EndpointEvent, EventError};
 use crate::discovery::log_lines;
+use crate::discovery::watch_request::RestartedList;
+pub use crate::discovery::watch_request::WatchRequest;
 use crate::model::Endpoint;
 use miniserde::json::{Object, Value};
 use std::collections::{BTreeMap, HashSet};
@@ -21,7 +23,7 @@
 const COMMENTS_AFTER_ALL_EVENTS: u32 = 2;
 
 /// Requesting the events after this number makes the service send its complete list: no event has this number.
-const BEFORE_ALL_EVENTS: u64 = 0;
+pub(super) const BEFORE_ALL_EVENTS: u64 = 0;
 
 /// A change of the endpoint list.
 #[derive(Debug, Default, PartialEq)]
@@ -101,29 +103,6 @@
     Unnumbered,
 }
 
-/// A request, and what has been received on it.
-#[derive(Default)]
-pub struct WatchRequest {
-    /// The number of the event after which the service is asked to continue.
-    after: u64,
-    /// The last event received before the request.
-    known_event: u64,
-    /// Whether that event, a newer one or an incomplete one has arrived.
-    reached_last_event: bool,
-    /// Whether that event or a newer one has arrived.
-    has_caught_up: bool,
-    /// Whether events with lower numbers have arrived before that.
-    has_older_events: bool,
-    /// The list that these events form, in case the service has restarted its event numbers.
-    restarted_list: Option<RestartedList>,
-    comments_since_event: u32,
-}
-
-struct RestartedList {
-    last_event: u64,
-    endpoints: BTreeMap<String, Endpoint>,
-}
-
 /// An event's number and its content, as far as they are valid.
 struct ParsedEvent {
     number: Option<u64>,
@@ -147,56 +126,6 @@
     }
 }
 
-impl WatchRequest {
-    /// The number of the event after which the service is asked to continue.
-    pub fn after(&self) -> u64 {
-        self.after
-    }
-
-    /// Whether the service has sent an event at least as new as the last one known before the request, or none was known.
-    /// Until then the service may not have taken up the request, although it sends comments.
-    pub fn has_caught_up(&self) -> bool {
-        self.has_caught_up || self.known_event == BEFORE_ALL_EVENTS
-    }
-
-    fn record_number(&mut self, number: u64) {
-        self.has_caught_up |= number >= self.known_event;
-    }
-
-    fn reach_last_event(&mut self) {
-        self.reached_last_event = true;
-        self.restarted_list = None;
-    }
-
-    /// Handles an event with a number received before: the service sent it twice, sent it again on request, or has
-    /// restarted its event numbers.
-    fn handle_older_event(&mut self, number: u64, event: Result<EndpointEvent, EventError>) {
-        if number >= self.known_event {
-            self.reach_last_event();
-        }
-        if self.reached_last_event {
-            return;
-        }
-        self.has_older_events = true;
-        let Ok(event) = event else {
-            return;
-        };
-        if event.complete {
-            self.restarted_list = Some(RestartedList {
-                last_event: number,
-                endpoints: BTreeMap::new(),
-            });
-        }
-        let Some(restarted) = &mut self.restarted_list else {
-            return;
-        };
-        restarted.last_event = number.max(restarted.last_event);
-        for endpoint in event.endpoints {
-            restarted.endpoints.insert(endpoint.id.clone(), endpoint);
-        }
-    }
-}
-
 impl WatchState {
     /// Starts from the known events of the configuration and the number of the last of them.
     pub fn from_known_events(known: &Object) -> InitialWatch {
--- a/wrenseam/src/model/discovery_contact.rs
+++ b/wrenseam/src/model/discovery_contact.rs
@@ -5,8 +5,8 @@
 /// A change of the contact with the discovery service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DiscoveryContact {
-    /// The service answered a request and has nothing more to report, so every change up to the time of that request
-    /// has been received.
+    /// The service was seen to have taken up a request and to have sent what it had to report, so every change up to the
+    /// time of that request has been received.
     Confirmed {
         /// When the request was made.
         requested_at: Instant,
--- a/wrenseam/src/net/mod.rs
+++ b/wrenseam/src/net/mod.rs
@@ -1,12 +1,14 @@
 //! Networking that all connections share: coroutines, system calls and the handling of their errors, the sending side
 //! of client connections, and the limit on the number of client connections.
 mod calls;
+mod client_probe;
 mod delivery;
 mod failure;
 mod fairness;
 mod input_progress;
 pub mod messages;
 mod outbox;
+mod response_memory;
 mod slots;
 mod writer;
 
--- a/wrenseam/src/net/outbox.rs
+++ b/wrenseam/src/net/outbox.rs
@@ -1,13 +1,14 @@
 //! The sending side of a client connection: any thread queues responses, and a coroutine writes them.
-use super::delivery::{has_peer_closed, unacknowledged_bytes, DeliveryProgress};
+use super::client_probe::{ClientSocket, SocketProbe};
+use super::delivery::{unacknowledged_bytes, DeliveryProgress};
+use super::response_memory::ResponseMemory;
 use super::writer::{queued_size, ConnectionWriter, Response, UnsentBytes, WriteCommand};
 use super::{messages, sleep, spawn, would_block, DirectCalls, InputProgress, SystemCalls};
 use crate::limits::Limits;
 use crate::memory_budget::{MemoryBudget, MemoryReservation};
-use crate::model::{ClientProbe, ClientState, Milestone, RequestTrace};
+use crate::model::{ClientProbe, Milestone, RequestTrace};
 use may::net::TcpStream;
 use may::sync::mpsc::{channel, Receiver, Sender};
-use std::fmt;
 use std::io::Read;
 use std::net::Shutdown;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -24,53 +25,11 @@
 /// How long a reader waits for its connection's writer before it looks again.
 const WRITER_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
-/// The stream of a client connection as its writer uses it.
-struct ClientSocket(TcpStream);
-
-impl fmt::Debug for ClientSocket {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.inner().fmt(f)
-    }
-}
-
-/// Checks the state of a client connection. Once the writer has dropped the stream the client counts as disconnected.
-#[derive(Debug)]
-struct SocketProbe {
-    socket: Weak<ClientSocket>,
-    input: Arc<InputProgress>,
-}
-
-impl ClientProbe for SocketProbe {
-    fn state(&self) -> ClientState {
-        let Some(socket) = self.socket.upgrade() else {
-            return ClientState::Disconnected;
-        };
-        if !self.input.is_handling() {
-            match socket.0.inner().peek(&mut [0]) {
-                Ok(1..) => {}
-                Err(error) if would_block(&error) => return ClientState::Connected,
-                _ => return ClientState::Disconnected,
-            }
-        }
-        if has_peer_closed(&socket.0) {
-            ClientState::Disconnected
-        } else if self.input.is_overdue(Instant::now()) {
-            ClientState::OverdueInput
-        } else {
-            ClientState::UnreadInput
-        }
-    }
-}
-
 /// How far the closing of a connection's sending side has come.
 #[derive(Default)]
 struct CloseState {
     /// Whether the connection is half-closed once everything queued is written.
     is_closing: AtomicBool,
-    /// Whether no further input is to be handled, as the client does not read its responses.
-    is_input_refused: AtomicBool,
-    /// Responses that were queued without a reservation.
-    unreserved_responses: AtomicUsize,
     /// Whether the connection is closed, without a linger, once everything queued is written.
     is_aborted: AtomicBool,
     /// Whether the writer has ended.
@@ -94,10 +53,7 @@
     waiting_writer: Arc<Mutex<Option<WaitingWriter>>>,
     unsent: UnsentBytes,
     close_state: Arc<CloseState>,
-    /// The memory budget of this connection's responses to requests that the core answers.
-    answer_budget: MemoryBudget,
-    /// The memory budget of this connection's responses that the front makes itself.
-    direct_budget: MemoryBudget,
+    memory: Arc<ResponseMemory>,
     limits: Arc<Limits>,
     delivery: Arc<Mutex<DeliveryProgress>>,
     client_probe: Arc<SocketProbe>,
@@ -128,10 +84,7 @@
         let (commands, queue) = channel();
         let socket = Arc::new(ClientSocket(stream));
         let input = Arc::<InputProgress>::default();
-        let client_probe = Arc::new(SocketProbe {
-            socket: Arc::downgrade(&socket),
-            input: input.clone(),
-        });
+        let client_probe = Arc::new(SocketProbe::new(&socket, &input));
         let weak_socket = Arc::downgrade(&socket);
         let waiting_writer = WaitingWriter {
             socket,
@@ -143,9 +96,7 @@
             waiting_writer: Arc::new(Mutex::new(Some(waiting_writer))),
             unsent: UnsentBytes::new(unsent_bytes),
             close_state: Arc::default(),
-            answer_budget: budget
-                .part_leaving(limits.memory_budget_bytes, limits.direct_response_bytes()),
-            direct_budget: budget.part(limits.max_unsent_bytes),
+            memory: Arc::new(ResponseMemory::new(budget, limits)),
             limits: limits.clone(),
             delivery: Arc::new(Mutex::new(DeliveryProgress::new(Instant::now()))),
             client_probe,
@@ -214,24 +165,15 @@
         if self.is_closing() || self.is_aborted() {
             return;
         }
-        let reserved = self.reserve_direct(queued_size(&bytes));
-        if reserved.is_none() && !self.refuse_input(bytes.len()) {
-            return;
+        let was_refused = self.memory.is_input_refused();
+        let response = self.memory.fit_direct(bytes);
+        if self.memory.is_input_refused() && !was_refused {
+            let unsent = self.unsent.on_connection();
+            log_limited!("{}", messages::responses_unread(unsent));
         }
-        let response = Response {
-            bytes,
-            _reserved: reserved,
-        };
-        self.queue(response, None);
-    }
-
-    /// Reserves memory for a response that the front makes itself. A response may be longer than all of them may be, as
-    /// the state of many workers is, if no other is unsent.
-    fn reserve_direct(&self, size: usize) -> Option<MemoryReservation> {
-        if size > self.limits.max_unsent_bytes && self.direct_budget.reserved() == 0 {
-            return self.answer_budget.reserve_share(size);
+        if let Some(response) = response {
+            self.queue(response, None);
         }
-        self.direct_budget.reserve_share(size)
     }
 
     /// Makes room for the response to a request that the core answered, `kept` being what the request kept for a short
@@ -242,23 +184,7 @@
         kept: MemoryReservation,
         failure: impl FnOnce() -> Vec<u8>,
     ) -> Response {
-        let size = queued_size(&bytes);
-        let reserved = if size <= kept.bytes() {
-            Some(kept)
-        } else if let Some(reserved) = self.answer_budget.reserve_share(size) {
-            Some(reserved)
-        } else {
-            let unsent = self.answer_budget.reserved();
-            log_limited!("{}", messages::answer_not_kept(bytes.len(), unsent));
-            return Response {
-                bytes: failure(),
-                _reserved: Some(kept),
-            };
-        };
-        Response {
-            bytes,
-            _reserved: reserved,
-        }
+        self.memory.fit_answer(bytes, kept, failure)
     }
 
     /// Queues the response to a request that the core answered, unless the connection is closing.
@@ -278,29 +204,10 @@
         }
     }
 
-    /// Refuses the connection's further input, as there is no room for a response. Returns whether this response is
-    /// queued all the same: a few short ones are, as what was read before is answered.
-    fn refuse_input(&self, response_bytes: usize) -> bool {
-        if !self
-            .close_state
-            .is_input_refused
-            .swap(true, Ordering::AcqRel)
-        {
-            let unsent = self.unsent.on_connection();
-            log_limited!("{}", messages::responses_unread(unsent));
-        }
-        if response_bytes > self.limits.short_response_bytes {
-            return false;
-        }
-        let unreserved_responses = &self.close_state.unreserved_responses;
-        let count = unreserved_responses.fetch_add(1, Ordering::Relaxed);
-        count < self.limits.max_requests_per_connection
-    }
-
     /// Whether no further input is to be handled, as the client does not read the responses. The connection's reader then
     /// closes it once the open requests are answered.
     pub fn is_input_refused(&self) -> bool {
-        self.close_state.is_input_refused.load(Ordering::Acquire)
+        self.memory.is_input_refused()
     }
 
     /// Whether the client leaves so much unread that further requests are to be rejected. Waits, for `limit` at most,
--- a/wrenseam/tests/long_responses.rs
+++ b/wrenseam/tests/long_responses.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::{
-    fastcgi_record, read_fastcgi_answer, request_bytes, InProcessFront, PassedRequest, Protocol,
+    connect, fastcgi_record, read_fastcgi_answer, request_bytes, InProcessFront, PassedRequest,
+    Protocol,
 };
 use rstest::rstest;
 use std::io::{Read, Write};
@@ -233,6 +234,27 @@
     assert_eq!(answers, 1, "the end of the open request");
 }
 
+/// Guards against a response of the front itself that is never sent because it alone is longer than all of them may be
+/// together, as the state of many workers is.
+#[test]
+fn a_long_response_of_the_front_itself_is_sent() {
+    let front = start(V2, 192);
+    let length = 2 * front.context.limits.max_unsent_bytes;
+    let listener = may::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut client = connect(listener.local_addr().expect("bound"));
+    let context = front.context;
+    wrenseam::net::spawn(context.limits.coroutine_stack_bytes, move || {
+        let (stream, _) = listener.accept().expect("a connection");
+        let out = context.outbox(stream);
+        out.send(vec![b'x'; length]);
+        out.close();
+    })
+    .expect("a coroutine");
+    let mut received = Vec::new();
+    client.read_to_end(&mut received).expect("all of it");
+    assert_eq!(received.len(), length);
+}
+
 /// The type, request id and content of each FastCGI record.
 fn records(mut bytes: &[u8]) -> impl Iterator<Item = (u8, u16, &[u8])> {
     std::iter::from_fn(move || {
