--- a/wrenseam/tests/discovery_outage.rs
+++ b/wrenseam/tests/discovery_outage.rs
@@ -172,9 +172,8 @@
 /// A connection on which comments come and an event never does is not relied on.
 #[rstest]
 fn a_watch_that_stops_without_an_error_hides_no_drains(#[values(3, 48)] front_ends: usize) {
-    /// The longest event timeout, and what a request takes.
-    const ASKED_AGAIN_AFTER: Duration = Duration::from_millis(4_800);
-    check_delayed_drains(front_ends, EventDelay::UntilNextRequest, ASKED_AGAIN_AFTER);
+    let notified_after = Duration::from_millis(NOTIFIED_AFTER_MS);
+    check_delayed_drains(front_ends, EventDelay::UntilNextRequest, notified_after);
 }
 
 /// Guards against draining workers that are resumed after an outage although discovery has not told yet what is pending:
--- a/wrenseam/tests/platform/client.rs
+++ b/wrenseam/tests/platform/client.rs
@@ -3,6 +3,7 @@
 use super::support::fastcgi::{
     abort_request, fastcgi_request, read_fastcgi_answer, FastCgiAnswer, OVERLOADED,
 };
+use super::worker::is_answer_body;
 use super::FUNCTIONS;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -308,7 +309,7 @@
         || status.starts_with("429")
     {
         RequestOutcome::Rejected
-    } else if status.starts_with("200") && answer.body == b"DONE" {
+    } else if status.starts_with("200") && is_answer_body(&answer.body) {
         RequestOutcome::Served
     } else {
         RequestOutcome::Failed
--- a/wrenseam/tests/platform/discovery.rs
+++ b/wrenseam/tests/platform/discovery.rs
@@ -131,12 +131,17 @@
     }
 
     /// Delays events from now on.
-    #[allow(dead_code, reason = "each test binary uses its own part")]
     pub(crate) fn delay_events(&self, delay: EventDelay) {
         let mut state = self.state.lock().expect("not poisoned");
         state.event_delay = Some(delay);
     }
 
+    /// Sends events at once again, also those that were delayed.
+    pub(crate) fn end_delay(&self) {
+        let mut state = self.state.lock().expect("not poisoned");
+        state.event_delay = None;
+    }
+
     /// Makes the service unreachable.
     pub(crate) fn interrupt(&self, outage: Outage) {
         let mut state = self.state.lock().expect("not poisoned");
--- a/wrenseam/tests/platform/worker.rs
+++ b/wrenseam/tests/platform/worker.rs
@@ -39,6 +39,20 @@
     pub(crate) ended_at: Option<Instant>,
 }
 
+/// The body of an answer.
+const BODY: &[u8] = b"DONE";
+/// The longest body of the platform's answers, in bytes, and what it consists of.
+const LONG_BODY_BYTES: usize = 230_000;
+const LONG_BODY_BYTE: u8 = b'x';
+/// One in so many calls is answered at length, if any are.
+const LONG_ANSWER_RATIO: u64 = 16;
+
+/// Whether this is the whole body of an answer.
+pub(super) fn is_answer_body(body: &[u8]) -> bool {
+    let is_long = body.len() == LONG_BODY_BYTES && body.iter().all(|byte| *byte == LONG_BODY_BYTE);
+    is_long || body == BODY
+}
+
 #[derive(Default)]
 struct WorkerState {
     is_running: bool,
@@ -55,6 +69,8 @@
     drains: Vec<Drain>,
     /// Number of health checks received.
     health_checks: usize,
+    /// Whether some calls are answered at length.
+    long_answers: bool,
     /// Start times of all processes but the first.
     starts: Vec<Instant>,
 }
@@ -255,6 +271,22 @@
         })
     }
 
+    /// Has the worker answer one in [`LONG_ANSWER_RATIO`] calls with [`LONG_BODY_BYTES`] from now on.
+    pub(crate) fn answer_at_length(&self) {
+        self.with_state(|state| state.long_answers = true);
+    }
+
+    /// The body of the answer to the call of this id.
+    fn body(&self, id: u64) -> Vec<u8> {
+        let is_long =
+            self.with_state(|state| state.long_answers) && id.is_multiple_of(LONG_ANSWER_RATIO);
+        if is_long {
+            vec![LONG_BODY_BYTE; LONG_BODY_BYTES]
+        } else {
+            BODY.to_vec()
+        }
+    }
+
     /// Records a call and answers it: at once with a rejection, or after the call time with a result.
     fn serve_call(&self, frame: &Frame, at: Instant, answers: &Arc<Mutex<TcpStream>>) {
         let kind = ArrivalKind::Call {
@@ -264,7 +296,8 @@
         if !self.record_arrival(at, kind) {
             return write(answers, &encode_answer(code::REJECTED, frame.id, "", b""));
         }
-        let answer = encode_answer(code::OK, frame.id, "detail=resident", b"DONE");
+        let body = self.body(frame.id);
+        let answer = encode_answer(code::OK, frame.id, "detail=resident", &body);
         if self.call_time.is_zero() {
             return write(answers, &answer);
         }
--- a/wrenseam/tests/soak.rs
+++ b/wrenseam/tests/soak.rs
@@ -1,5 +1,5 @@
 //! A seeded soak test: clients send requests to front end processes all the time while the discovery service is
-//! unreachable or moves, workers drain, crash and restart, front ends are paused, restarted and killed as early as the
+//! unreachable, slow or moves, workers drain, crash and restart, front ends are paused, restarted and killed as early as the
 //! platform may do so, and in some runs a crowd of other clients misuses them or a few send at full speed. Guards
 //! against breaches of the platform's rules that only a combination of these causes: work sent to draining workers,
 //! forbidden duplicates, overload of workers in slow start, lost requests, crashes, and processes that exceed their
@@ -13,8 +13,9 @@
 use plan::{Plan, Step};
 use platform::{
     cold_overload, forbidden_duplicates, late_arrivals, start_workers, AbusiveClients,
-    ClientSettings, Clients, DiscoveryService, Drain, DrainLimits, EventLog, FloodingClients,
-    FrontEnd, FrontEndSettings, RequestOutcome, RequestRecord, SimulatedWorker,
+    ClientSettings, Clients, DiscoveryService, Drain, DrainLimits, EventDelay, EventLog,
+    FloodingClients, FrontEnd, FrontEndSettings, Outage, RequestOutcome, RequestRecord,
+    SimulatedWorker,
 };
 use rstest::rstest;
 use std::ops::Range;
@@ -56,8 +57,8 @@
     killed_at: Instant,
 }
 
-/// A period in which front ends may receive notices of drains late: discovery was unreachable or moved, or a front end
-/// was paused.
+/// A period in which front ends may receive notices of drains late: discovery was unreachable, slow or moved, or a front
+/// end was paused.
 type Disturbance = Range<Instant>;
 
 /// A run in progress.
@@ -78,6 +79,8 @@
     disturbances: Vec<Disturbance>,
     /// When the present outage of discovery began; `None` without one.
     outage_since: Option<Instant>,
+    /// Since when discovery is slow; `None` while it is not.
+    slow_since: Option<Instant>,
     /// Pauses of front ends: the front end's index and the period, which is empty until the front end resumes.
     pauses: Vec<(usize, Disturbance)>,
     clients: Clients,
@@ -91,6 +94,9 @@
 impl Soak {
     fn start(plan: Plan) -> Soak {
         let (workers, log) = start_workers(plan.workers, CALL_TIME);
+        if plan.long_answers {
+            workers.iter().for_each(SimulatedWorker::answer_at_length);
+        }
         let discovery = [DiscoveryService::start(&log), DiscoveryService::start(&log)];
         let mut clients = Clients::new(plan.seed << 16);
         let mut front_ends = Vec::new();
@@ -124,6 +130,7 @@
             process_ends: Vec::new(),
             disturbances: Vec::new(),
             outage_since: None,
+            slow_since: None,
             pauses: Vec::new(),
             clients,
             crowd: Vec::new(),
@@ -200,19 +207,10 @@
     fn apply(&mut self, step: &Step) {
         let now = Instant::now();
         match *step {
-            Step::Interrupt(outage) => {
-                self.outage_since = Some(now);
-                for service in &self.discovery {
-                    service.interrupt(outage);
-                }
-            }
-            Step::Restore => {
-                for service in &self.discovery {
-                    service.restore();
-                }
-                let since = self.outage_since.take().expect("an outage");
-                self.disturbances.push(since..now);
-            }
+            Step::Interrupt(outage) => self.interrupt_discovery(outage),
+            Step::Restore => self.restore_discovery(),
+            Step::DelayEvents(delay) => self.delay_events(delay),
+            Step::EndDelay => self.end_delay(),
             Step::Drain(worker) => {
                 self.workers[worker].drain();
                 self.publish(worker, "draining");
@@ -290,6 +288,36 @@
         }
     }
 
+    fn interrupt_discovery(&mut self, outage: Outage) {
+        self.outage_since = Some(Instant::now());
+        for service in &self.discovery {
+            service.interrupt(outage);
+        }
+    }
+
+    fn restore_discovery(&mut self) {
+        for service in &self.discovery {
+            service.restore();
+        }
+        let since = self.outage_since.take().expect("an outage");
+        self.disturbances.push(since..Instant::now());
+    }
+
+    fn delay_events(&mut self, delay: EventDelay) {
+        self.slow_since = Some(Instant::now());
+        for service in &self.discovery {
+            service.delay_events(delay);
+        }
+    }
+
+    fn end_delay(&mut self) {
+        for service in &self.discovery {
+            service.end_delay();
+        }
+        let since = self.slow_since.take().expect("a delay");
+        self.disturbances.push(since..Instant::now());
+    }
+
     fn publish(&self, worker: usize, lifecycle: &str) {
         self.log
             .publish(&[self.workers[worker].instance(lifecycle)]);
--- a/wrenseam/tests/soak/plan.rs
+++ b/wrenseam/tests/soak/plan.rs
@@ -1,5 +1,5 @@
 //! The plan of a run of the soak test, which follows from its seed.
-use crate::platform::{Abuse, Deployment, Flood, Outage, ProcessLimits};
+use crate::platform::{Abuse, Deployment, EventDelay, Flood, Outage, ProcessLimits};
 use crate::{ACCEPTED_AFTER_TERM, MAX_AWAITED_TIMEOUT};
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -41,8 +41,10 @@
 ];
 /// Numbers of connections, of which each flood draws one.
 const FLOOD_CONNECTIONS: [u64; 3] = [1, 3, 8];
-/// Changes the seed for what is drawn last.
+/// Changes the seed for floods.
 const FLOOD_SEED: u64 = 0x5f10_0d00;
+/// Changes the seed for what is drawn last.
+const SLOWNESS_SEED: u64 = 0x5103_0000;
 /// An event of a run. Workers and front ends are given by their index.
 #[derive(Clone, Debug)]
 pub(crate) enum Step {
@@ -50,6 +52,10 @@
     Interrupt(Outage),
     /// The discovery services become reachable again.
     Restore,
+    /// The discovery services become slow, but for their comments.
+    DelayEvents(EventDelay),
+    /// They are as fast as before.
+    EndDelay,
     /// A worker drains, and the endpoint list says so.
     Drain(usize),
     /// A worker's process ends after a drain or by a crash.
@@ -90,6 +96,8 @@
     /// Mean pause of a client between two requests.
     pub(crate) client_pause: Duration,
     pub(crate) limits: ProcessLimits,
+    /// Whether workers answer one in sixteen calls at length.
+    pub(crate) long_answers: bool,
     /// Steps in the order of their times, which count from the start of the run.
     pub(crate) steps: Vec<(Duration, Step)>,
 }
@@ -146,6 +154,7 @@
             },
             client_pause: Duration::from_millis(if has_many_clients { 100 } else { 50 }),
             limits: ProcessLimits::default(),
+            long_answers: false,
             steps: Vec::new(),
         };
         let outage_begin = plan.add_outage(&mut random);
@@ -157,6 +166,9 @@
         plan.add_further_signals(&mut random);
         plan.add_crowd(&mut random);
         plan.add_flood(&mut SeededRandom(Pcg32::seed_from_u64(seed ^ FLOOD_SEED)));
+        plan.add_slowness(&mut SeededRandom(Pcg32::seed_from_u64(
+            seed ^ SLOWNESS_SEED,
+        )));
         plan.steps.sort_by_key(|(at, _)| *at);
         plan
     }
@@ -283,6 +295,25 @@
         self.steps.push((end, Step::EndFlood));
     }
 
+    /// In one of two runs some answers are long, and in one of two discovery is slow for a while, often from within its
+    /// outage on.
+    fn add_slowness(&mut self, random: &mut SeededRandom) {
+        self.long_answers = random.one_in(2);
+        if !random.one_in(2) {
+            return;
+        }
+        let delay = random.duration_ms(500..9_000);
+        let delay = match random.below(3) {
+            0 => EventDelay::FromPublication(delay),
+            1 => EventDelay::UntilNextRequest,
+            _ => EventDelay::FromRequest(delay),
+        };
+        let begin = random.duration_ms(500..12_000);
+        let end = begin + random.duration_ms(3_000..12_000);
+        self.steps.push((begin, Step::DelayEvents(delay)));
+        self.steps.push((end, Step::EndDelay));
+    }
+
     /// Time from SIGTERM to the earliest SIGKILL that the platform may send.
     pub(crate) fn kill_delay(&self) -> Duration {
         let timeout = Duration::from_millis(self.deployment.give_up_ms);
