Descriptors: further discovery connections are taken from workers, not from clients

Ruled out: changing the tests, as the value on the wire stays. Change: 40 are reserved again, and the limit on connections to workers leaves two more.

--- a/wrenseam/src/core/endpoints.rs
+++ b/wrenseam/src/core/endpoints.rs
@@ -103,6 +103,8 @@
 
     /// The limit on connections to workers, from the process's limit on descriptors.
     pub(super) fn pool_limit(&self) -> PoolLimit {
-        PoolLimit::new(self.limits.descriptors, RESERVED_DESCRIPTORS)
+        let further_discovery_connections = self.limits.discovery.max_connections - 1;
+        let reserved = RESERVED_DESCRIPTORS + further_discovery_connections;
+        PoolLimit::new(self.limits.descriptors, reserved)
     }
 }
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -7,9 +7,9 @@
 use wrenseam_policy::{Micros, Settings};
 
 /// File descriptors reserved at any limit, besides the eighth of it that is left to workers: standard streams, the
-/// coroutine scheduler, listeners, the discovery connections, the admin endpoint and its clients, and the first worker
+/// coroutine scheduler, listeners, the first discovery connection, the admin endpoint and its clients, and the first worker
 /// connections. At a limit of 192 descriptors the eighth alone (24) left the process one over its limit.
-pub const RESERVED_DESCRIPTORS: usize = 42;
+pub const RESERVED_DESCRIPTORS: usize = 40;
 
 const KIB: usize = 1024;
 const MIB: usize = 1024 * KIB;
