--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -84,7 +84,7 @@
 //! - Decisions, one module each: `eligibility`, `dispatch`, `outlier_detection`, `load_orders`, `replication`,
 //!   `polling`, `routing`, `hedging`, `keep_alive`, `admission`, `endpoint_list`, `survey`, `request_lifecycle`.
 //! - `controller`: takes one event and returns actions.
-//! - [`readiness_lease`]: independent of the controller; how long a worker listed as ready may get new work.
+//! - [`readiness_lease`], by `lease`: independent of the controller; how long a worker listed as ready may get new work.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -103,6 +103,7 @@
 mod index;
 pub mod json;
 mod keep_alive;
+mod lease;
 mod load_budget;
 mod load_limiter;
 mod load_orders;
--- a/policy/src/readiness_lease.rs
+++ b/policy/src/readiness_lease.rs
@@ -12,14 +12,13 @@
 //! several health checks in a row or was unconfirmed for too long is treated as a new process when it answers again.
 //!
 //! No I/O: time is an argument.
+use crate::lease::{Lease, REPORTED_AFTER};
 use crate::rendezvous;
 use crate::settings::Settings;
 use crate::types::{Micros, WorkerId, MILLISECOND, SECOND};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
-/// By the protocol, an event counts as reported to this front end this long after it happened, received or not.
-const REPORTED_AFTER: Micros = 7 * SECOND;
 /// Events from before a discovery connection broke count as reported this long after the break.
 const REPORTED_AFTER_BREAK: Micros = 2 * SECOND;
 /// Events from before a discovery connection went silent count as reported this long after the last response.
@@ -123,38 +122,6 @@
     },
 }
 
-/// A confirmation that a worker takes new work, and how long it may be relied on.
-#[derive(Clone, Copy, Debug, Default)]
-struct Lease {
-    /// The time at which the worker was known to take new work.
-    confirmed_at: Micros,
-    /// The earliest time at which a drain that began after `confirmed_at` can count as reported to this front end. The
-    /// drain grace is not included.
-    ends_at: Micros,
-}
-
-impl Lease {
-    fn new(confirmed_at: Micros) -> Lease {
-        Lease {
-            confirmed_at,
-            ends_at: confirmed_at.saturating_add(REPORTED_AFTER),
-        }
-    }
-
-    fn renew(&mut self, confirmed_at: Micros) {
-        if confirmed_at > self.confirmed_at {
-            *self = Lease::new(confirmed_at);
-        }
-    }
-
-    /// Ends a lease that was confirmed before `at` at `reported_at` at the latest.
-    fn shorten(&mut self, at: Micros, reported_at: Micros) {
-        if self.confirmed_at < at {
-            self.ends_at = self.ends_at.min(reported_at);
-        }
-    }
-}
-
 /// The lease state of a worker that the endpoint list names as ready.
 #[derive(Clone, Debug, Default)]
 struct WorkerRecord {
--- a/wrenseam/src/discovery/watch.rs
+++ b/wrenseam/src/discovery/watch.rs
@@ -6,8 +6,8 @@
 //! can be applied in its place when it is received again.
 use crate::discovery::event::{parse_event, EndpointEvent, EventError};
 use crate::discovery::log_lines;
-use crate::discovery::watch_request::RestartedList;
 pub use crate::discovery::watch_request::WatchRequest;
+use crate::discovery::watch_request::{RestartedList, BEFORE_ALL_EVENTS};
 use crate::model::Endpoint;
 use miniserde::json::{Object, Value};
 use std::collections::{BTreeMap, HashSet};
@@ -22,9 +22,6 @@
 /// comment each second.
 const COMMENTS_AFTER_ALL_EVENTS: u32 = 2;
 
-/// Requesting the events after this number makes the service send its complete list: no event has this number.
-pub(super) const BEFORE_ALL_EVENTS: u64 = 0;
-
 /// A change of the endpoint list.
 #[derive(Debug, Default, PartialEq)]
 pub struct EndpointListUpdate {
--- a/wrenseam/src/discovery/watch_request.rs
+++ b/wrenseam/src/discovery/watch_request.rs
@@ -1,9 +1,11 @@
 //! One request for events, and what has been received on it. No sockets and no clock.
 use super::event::{EndpointEvent, EventError};
-use super::watch::BEFORE_ALL_EVENTS;
 use crate::model::Endpoint;
 use std::collections::BTreeMap;
 
+/// Requesting the events after this number makes the service send its complete list: no event has this number.
+pub(super) const BEFORE_ALL_EVENTS: u64 = 0;
+
 /// A request, and what has been received on it.
 #[derive(Default)]
 pub struct WatchRequest {
--- a/wrenseam/src/net/messages.rs
+++ b/wrenseam/src/net/messages.rs
@@ -4,7 +4,7 @@
 
 /// A request failed although a worker served it: its client, or others, leave so many responses unread that there is no
 /// memory for this one of `bytes` bytes. `unsent` bytes are held for the connection's other responses.
-pub fn answer_not_kept(bytes: usize, unsent: usize) -> impl Display {
+pub fn answer_without_memory(bytes: usize, unsent: usize) -> impl Display {
     fmt::from_fn(move |f| {
         write!(
             f,
--- a/wrenseam/src/net/outbox.rs
+++ b/wrenseam/src/net/outbox.rs
@@ -176,15 +176,15 @@
         }
     }
 
-    /// Makes room for the response to a request that the core answered, `kept` being what the request kept for a short
-    /// one. If there is no room, as clients leave too much unread, `failure` gives a short response in its place.
+    /// Makes room for the response to a request that the core answered, `reserved` being what the request has reserved for a
+    /// short one. If there is no room, as clients leave too much unread, `failure` gives a short response in its place.
     pub fn fit_answer(
         &self,
         bytes: Vec<u8>,
-        kept: MemoryReservation,
+        reserved: MemoryReservation,
         failure: impl FnOnce() -> Vec<u8>,
     ) -> Response {
-        self.memory.fit_answer(bytes, kept, failure)
+        self.memory.fit_answer(bytes, reserved, failure)
     }
 
     /// Queues the response to a request that the core answered, unless the connection is closing.
--- a/wrenseam/src/net/response_memory.rs
+++ b/wrenseam/src/net/response_memory.rs
@@ -69,39 +69,39 @@
                 < self.limits.max_requests_per_connection
     }
 
-    /// Makes room for the response to a request that the core answered, `kept` being what the request kept for a short
-    /// one. If there is none, `failure` gives a short response in its place.
+    /// Makes room for the response to a request that the core answered, `reserved` being what the request has reserved for a
+    /// short one. If there is none, `failure` gives a short response in its place.
     pub(super) fn fit_answer(
         &self,
         bytes: Vec<u8>,
-        kept: MemoryReservation,
+        reserved: MemoryReservation,
         failure: impl FnOnce() -> Vec<u8>,
     ) -> Response {
-        match self.reserve_answer(queued_size(&bytes), kept) {
+        match self.reserve_answer(queued_size(&bytes), reserved) {
             Ok(reserved) => Response {
                 bytes,
                 _reserved: Some(reserved),
             },
-            Err(kept) => {
+            Err(reserved) => {
                 let unsent = self.answers.reserved();
-                log_limited!("{}", messages::answer_not_kept(bytes.len(), unsent));
+                log_limited!("{}", messages::answer_without_memory(bytes.len(), unsent));
                 Response {
                     bytes: failure(),
-                    _reserved: Some(kept),
+                    _reserved: Some(reserved),
                 }
             }
         }
     }
 
-    /// Reserves memory for the response to a request, or gives back what the request kept.
+    /// Reserves memory for the response to a request, or gives back what the request has reserved.
     fn reserve_answer(
         &self,
         size: usize,
-        kept: MemoryReservation,
+        reserved: MemoryReservation,
     ) -> Result<MemoryReservation, MemoryReservation> {
-        if size <= kept.bytes() {
-            return Ok(kept);
+        if size <= reserved.bytes() {
+            return Ok(reserved);
         }
-        self.answers.reserve_share(size).ok_or(kept)
+        self.answers.reserve_share(size).ok_or(reserved)
     }
 }
--- a/wrenseam/tests/discovery_outage.rs
+++ b/wrenseam/tests/discovery_outage.rs
@@ -179,7 +179,7 @@
 /// Guards against draining workers that are resumed after an outage although discovery has not told yet what is pending:
 /// a comment was taken as proof that nothing is.
 #[rstest]
-fn draining_workers_are_not_resumed_before_slow_discovery_has_told_their_drains(
+fn draining_workers_are_not_resumed_before_slow_discovery_has_reported_their_drains(
     #[values(
         EventDelay::FromRequest(Duration::from_secs(2)),
         EventDelay::FromRequest(Duration::from_secs(4)),
--- a/wrenseam/tests/executed_ids.rs
+++ b/wrenseam/tests/executed_ids.rs
@@ -68,7 +68,7 @@
 /// Guards against a process that removes its own id and overwrites one that the other process records in the same place
 /// of the file at the same time.
 #[test]
-fn an_id_that_is_recorded_while_another_is_removed_is_kept() {
+fn an_id_that_is_recorded_while_another_is_removed_is_not_lost() {
     const ROUNDS: u64 = 20_000;
     /// Ids with this difference share a bucket of the file.
     const BUCKETS: u64 = 2_048;
--- a/wrenseam/tests/log_messages.rs
+++ b/wrenseam/tests/log_messages.rs
@@ -109,7 +109,7 @@
     "client: connection closed: 262144 bytes of responses unread"
 )]
 #[case(
-    connection_messages::answer_not_kept(230_000, 5_000_000).to_string(),
+    connection_messages::answer_without_memory(230_000, 5_000_000).to_string(),
     "client: request failed: no memory for a response of 230000 bytes behind 5000000 unsent"
 )]
 #[case(
--- a/wrenseam/tests/process_handover.rs
+++ b/wrenseam/tests/process_handover.rs
@@ -108,7 +108,7 @@
 /// Guards against exclusions that are confirmed and then lost, when operators exclude workers at both processes of an
 /// upgrade at the same time.
 #[test]
-fn exclusions_at_both_processes_at_the_same_time_are_all_kept() {
+fn exclusions_at_both_processes_at_the_same_time_all_stay_in_effect() {
     let harness = Harness::new(Protocol::Platform);
     let folder = harness.folder();
     let mut successor = Program::start(&folder, &folder.join("config.json"), &[]);
--- a/wrenseam/tests/soak.rs
+++ b/wrenseam/tests/soak.rs
@@ -290,30 +290,24 @@
 
     fn interrupt_discovery(&mut self, outage: Outage) {
         self.outage_since = Some(Instant::now());
-        for service in &self.discovery {
-            service.interrupt(outage);
-        }
+        let interrupt = |service: &DiscoveryService| service.interrupt(outage);
+        self.discovery.iter().for_each(interrupt);
     }
 
     fn restore_discovery(&mut self) {
-        for service in &self.discovery {
-            service.restore();
-        }
+        self.discovery.iter().for_each(DiscoveryService::restore);
         let since = self.outage_since.take().expect("an outage");
         self.disturbances.push(since..Instant::now());
     }
 
     fn delay_events(&mut self, delay: EventDelay) {
         self.slow_since = Some(Instant::now());
-        for service in &self.discovery {
-            service.delay_events(delay);
-        }
+        let delay_events = |service: &DiscoveryService| service.delay_events(delay);
+        self.discovery.iter().for_each(delay_events);
     }
 
     fn end_delay(&mut self) {
-        for service in &self.discovery {
-            service.end_delay();
-        }
+        self.discovery.iter().for_each(DiscoveryService::end_delay);
         let since = self.slow_since.take().expect("a delay");
         self.disturbances.push(since..Instant::now());
     }
